--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,152 @@
+// Package daemon starts and stops a node: its configuration, the listener, discovery's watch, and signals.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"notchpond/internal/node"
+	"notchpond/internal/protocol"
+	"notchpond/internal/wire"
+)
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Cores     float64
+	MemoryMB  int
+	Known     protocol.List
+	Node      node.Settings
+}
+
+// Load reads the configuration file and checks it. Listen and discovery may be given in the environment
+// instead, as GW_LISTEN and GW_DISCOVERY; so may the name, as GW_NAME. An error names the field at fault.
+func Load(path string, getenv func(string) string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return Parse(raw, getenv)
+}
+
+// Parse is Load on the file's text.
+func Parse(raw []byte, getenv func(string) string) (*Config, error) {
+	var in struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    jsoniter.RawMessage `json:"known"`
+		Settings jsoniter.RawMessage `json:"settings"`
+	}
+	json := jsoniter.ConfigCompatibleWithStandardLibrary
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{Name: or(in.Name, getenv("GW_NAME")), Listen: or(in.Listen, getenv("GW_LISTEN")),
+		Discovery: or(in.Discovery, getenv("GW_DISCOVERY")), Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB}
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	switch {
+	case c.Cores < 0:
+		return nil, fmt.Errorf("limits.cores: %v is below 0", c.Cores)
+	case c.MemoryMB < 0:
+		return nil, fmt.Errorf("limits.memory_mb: %d is below 0", c.MemoryMB)
+	case in.Limits.Sockets != 0 && in.Limits.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is below %d", in.Limits.Sockets, leastSockets)
+	case len(in.Settings) == 0:
+		return nil, errors.New("settings: missing")
+	}
+	var seed uint64
+	if in.Seed != "" {
+		var err error
+		if seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	c.Known.All = true
+	if len(in.Known) > 0 {
+		var err error
+		if c.Known, err = protocol.ParseList(in.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	var s struct {
+		Tenants []named  `json:"orgs"`
+		Classes []named  `json:"profiles"`
+		Zones   []string `json:"zones"`
+		Limits  struct {
+			MaxOpen        int   `json:"max_open"`
+			ConnectTimeout int64 `json:"connect_timeout_us"`
+			Keepalive      int64 `json:"keepalive_us"`
+		} `json:"limits"`
+		Rules struct {
+			Grace int64 `json:"grace_to_answer_us"`
+		} `json:"rules"`
+	}
+	if err := json.Unmarshal(in.Settings, &s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	module, _, err := wire.Settings(in.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if s.Limits.ConnectTimeout <= 0 {
+		return nil, fmt.Errorf("settings.limits.connect_timeout_us: %d is not above 0", s.Limits.ConnectTimeout)
+	}
+	c.Node = node.Settings{Module: module, Seed: seed, Zones: s.Zones, MaxOpen: s.Limits.MaxOpen,
+		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Grace: s.Rules.Grace,
+		Sockets: in.Limits.Sockets}
+	if c.Node.Classes, err = names("settings.profiles", s.Classes); err != nil {
+		return nil, err
+	}
+	if len(c.Node.Classes) == 0 {
+		return nil, errors.New("settings.profiles: no classes of request")
+	}
+	if c.Node.Tenants, err = names("settings.orgs", s.Tenants); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// leastSockets is what a node needs to serve at all.
+const leastSockets = 64
+
+type named struct {
+	Name string `json:"name"`
+}
+
+func names(field string, in []named) ([]string, error) {
+	var out []string
+	seen := map[string]bool{}
+	for i, v := range in {
+		if v.Name == "" || seen[v.Name] {
+			return nil, fmt.Errorf("%s[%d].name: %q is empty or there twice", field, i, v.Name)
+		}
+		seen[v.Name] = true
+		out = append(out, v.Name)
+	}
+	return out, nil
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"notchpond/internal/node"
+)
+
+// drainGrace is how long after SIGTERM new requests still come and count.
+const drainGrace = 700 * time.Millisecond
+
+// stopWithin bounds a stop: by then every deadline has passed.
+const stopWithin = 15 * time.Second
+
+// limit keeps the process within its limits: one thread of Go code a core and one poller, and a collector that
+// works harder before memory runs out.
+func limit(c *Config) error {
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	}
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	}
+	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr})
+}
+
+// Serve runs a node until a signal ends it, and returns once all that was taken has been answered.
+func Serve(c *Config, log *slog.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := limit(c); err != nil {
+		return fmt.Errorf("poller: %w", err)
+	}
+	w := &watch{addr: c.Discovery, rev: c.Known.Rev}
+	n, err := node.New(c.Node, w, log)
+	if err != nil {
+		return err
+	}
+	w.to = n
+	ln, err := netpoll.CreateListener("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	loop, err := n.Serve()
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	n.Members(c.Known, true)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		n.Run(stop)
+		close(stopped)
+	}()
+	failed := make(chan error, 1)
+	go func() { failed <- loop.Serve(ln) }()
+	log.Info("serving", "name", c.Name, "listen", c.Listen, "discovery", c.Discovery,
+		"backends", len(c.Known.Targets), "sockets", c.Node.Sockets, "memory_mb", c.MemoryMB)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case s := <-signals:
+		log.Info("stopping", "signal", s.String())
+	}
+	drained := make(chan struct{})
+	n.Drain(drainGrace, func() { close(drained) })
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	select {
+	case <-drained:
+		log.Info("stopped")
+	case <-ctx.Done():
+		log.Error("stopped with requests unanswered")
+	}
+	close(stop)
+	<-stopped
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,271 @@
+// Package node keeps what a running node holds in memory: requests and their attempts, connections in both
+// directions, hosts and timers. A Node carries out the decision module's Actions directly on the sockets.
+//
+// One goroutine, Run, owns the module and all state. Everything else (the poller's callbacks, dials, writes,
+// discovery's watch) only posts to it. Nothing on that goroutine blocks.
+package node
+
+import (
+	"container/heap"
+	"container/list"
+	"log/slog"
+	"sync"
+	"time"
+
+	"notchpond"
+	"notchpond/internal/protocol"
+)
+
+// Settings is what a node is told at its start. All times are in microseconds.
+type Settings struct {
+	Module         notchpond.Config
+	Seed           uint64
+	Classes        []string // by number, as in Module.Classes
+	Tenants        []string
+	Zones          []string
+	MaxOpen        int // open requests; 0: no limit but that of sockets
+	ConnectTimeout int64
+	Keepalive      int64 // a backend closes a connection that stood idle so long
+	Grace          int64 // past its deadline, after which a request is overdue
+	Sockets        int   // descriptors of the whole process
+}
+
+// Discovery is how a node asks for news about backends. Its methods must not block; what they lead to comes
+// back through Node.Members and Node.MembersFailed.
+type Discovery interface {
+	Observe(on bool)
+	Fetch()
+}
+
+// reserve is the part of the descriptors that are neither clients' nor backends': standard streams, poller,
+// listener, discovery, and the few that the runtime opens.
+const reserve = 32
+
+// Node serves requests by the module's decisions.
+type Node struct {
+	set       Settings
+	log       *slog.Logger
+	discovery Discovery
+	bal       *notchpond.Balancer
+	epoch     time.Time
+	epochUs   int64
+
+	mu     sync.Mutex
+	posted []func()
+	wake   chan struct{}
+
+	// What follows belongs to Run's goroutine.
+	later    []func() // results for the module, which must not be called from within its Actions
+	timers   timerHeap
+	timerSeq uint64
+
+	classes, tenants, zones map[string]int
+	requests                map[notchpond.ReqID]*request
+	lastID                  notchpond.ReqID
+	open                    int // requests taken and not answered
+	writing                 int // answers on their way out
+	hosts                   []*host
+	byUID                   map[string]*host
+	clients                 map[*client]struct{}
+	idleClients             list.List // of *client, oldest first
+	idleBackends            list.List // of *backend, oldest first
+	descriptors             int
+	listed                  bool
+	draining                bool
+	drained                 func()
+}
+
+// New returns a Node that has not started. Run must be called before anything else has an effect.
+func New(set Settings, discovery Discovery, log *slog.Logger) (*Node, error) {
+	start := time.Now()
+	n := &Node{set: set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
+		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
+		zones: index(set.Zones), requests: map[notchpond.ReqID]*request{}, byUID: map[string]*host{},
+		clients: map[*client]struct{}{}}
+	bal, err := notchpond.New(set.Module, set.Seed, n)
+	if err != nil {
+		return nil, err
+	}
+	n.bal = bal
+	return n, nil
+}
+
+func index(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, name := range names {
+		m[name] = i
+	}
+	return m
+}
+
+// now is the node's clock: microseconds that run monotonically from the Unix time of the start. Unix times
+// from elsewhere, such as a backend's start, so need no further conversion.
+func (n *Node) now() int64 { return n.epochUs + time.Since(n.epoch).Microseconds() }
+
+// post hands f to Run's goroutine. It never blocks.
+func (n *Node) post(f func()) {
+	n.mu.Lock()
+	n.posted = append(n.posted, f)
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until stop is closed.
+func (n *Node) Run(stop <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []func()
+	n.at(n.now()+sweepEvery, n.sweep)
+	for {
+		n.mu.Lock()
+		batch, n.posted = n.posted, batch[:0]
+		n.mu.Unlock()
+		for i, f := range batch {
+			f()
+			n.settleLater()
+			batch[i] = nil
+		}
+		next := n.fire()
+		n.checkDrained()
+		n.mu.Lock()
+		more := len(n.posted) > 0
+		n.mu.Unlock()
+		if more {
+			continue
+		}
+		timer.Reset(next)
+		select {
+		case <-stop:
+			return
+		case <-n.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// settleLater delivers the results that Actions have queued, and those that these lead to.
+func (n *Node) settleLater() {
+	for len(n.later) > 0 {
+		f := n.later[0]
+		n.later[0] = nil
+		n.later = n.later[1:]
+		f()
+	}
+	n.later = n.later[:0:cap(n.later)]
+}
+
+// ---- timers ----
+
+type timer struct {
+	at  int64
+	seq uint64 // those due at the same time fire in the order they were set
+	f   func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+func (n *Node) at(when int64, f func()) {
+	n.timerSeq++
+	heap.Push(&n.timers, timer{when, n.timerSeq, f})
+}
+
+// fire runs what is due and returns how long until the next timer.
+func (n *Node) fire() time.Duration {
+	for len(n.timers) > 0 {
+		if wait := n.timers[0].at - n.now(); wait > 0 {
+			return time.Duration(wait) * time.Microsecond
+		}
+		heap.Pop(&n.timers).(timer).f()
+		n.settleLater()
+	}
+	return time.Hour
+}
+
+// sweepEvery is how often idle connections are looked at, in microseconds.
+const sweepEvery = 500_000
+
+// sweep closes backend connections that stood idle for half the time after which the backend would: a
+// request written to one that is just being closed would end as a reset.
+func (n *Node) sweep() {
+	n.at(n.now()+sweepEvery, n.sweep)
+	for e := n.idleBackends.Front(); e != nil && n.set.Keepalive > 0; e = n.idleBackends.Front() {
+		b := e.Value.(*backend)
+		if n.now()-b.idleSince < n.set.Keepalive/2 {
+			break
+		}
+		n.closeBackend(b)
+	}
+}
+
+// ---- start and stop ----
+
+// Drain makes the node leave: /ready says so, connections close once they are idle, and after grace done is
+// called as soon as all that was taken has been answered.
+func (n *Node) Drain(grace time.Duration, done func()) {
+	n.post(func() {
+		if n.draining {
+			return
+		}
+		n.draining = true
+		n.log.Info("draining", "open", n.open, "clients", len(n.clients))
+		n.closeIdleClients()
+		n.at(n.now()+grace.Microseconds(), func() {
+			n.closeIdleClients()
+			n.drained = done
+		})
+	})
+}
+
+func (n *Node) checkDrained() {
+	if n.drained != nil && n.open == 0 && n.writing == 0 {
+		done := n.drained
+		n.drained = nil
+		done()
+	}
+}
+
+// ---- discovery ----
+
+// Members is news about the backends. Cached tells that the list may be out of date.
+func (n *Node) Members(l protocol.List, cached bool) {
+	n.post(func() {
+		kind := notchpond.ListDelta
+		if l.All {
+			kind = notchpond.ListFull
+		}
+		if cached {
+			kind = notchpond.ListCached
+		}
+		hosts := n.merge(l, kind != notchpond.ListDelta)
+		if !n.listed || len(hosts) > 0 {
+			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
+		}
+		n.listed = true
+		n.bal.Members(n.now(), kind, hosts)
+	})
+}
+
+// MembersFailed tells that a call to discovery has failed.
+func (n *Node) MembersFailed(err error) {
+	n.post(func() {
+		n.log.Warn("discovery failed", "err", err)
+		n.bal.Members(n.now(), notchpond.ListFailed, nil)
+	})
+}
--- /dev/null
+++ b/internal/node/pool.go
@@ -0,0 +1,337 @@
+package node
+
+import (
+	"container/list"
+	"context"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"notchpond"
+	"notchpond/internal/protocol"
+)
+
+// host is one backend that discovery has named. It keeps its id for the process's life.
+type host struct {
+	id      notchpond.HostID
+	addr    string
+	boot    int64
+	life    int // counts its processes: a connection to an earlier one is never used again
+	idle    []*backend
+	waiting []*attempt // for a connection
+	dials   int        // connections on their way
+}
+
+// backend is a connection to a host. It carries one request at a time.
+type backend struct {
+	socket
+	n         *Node
+	host      *host
+	life      int
+	att       *attempt
+	in        *buffer
+	msg       protocol.Message
+	up        bool // the pool has it
+	written   bool // the request's last byte is
+	answered  bool // whole, before the writer said that it was done
+	hungUp    bool // the other side has closed while the request was being written
+	closed    bool
+	idle      *list.Element
+	idleSince int64
+}
+
+// merge takes a list into the pool and turns it into the module's form.
+func (n *Node) merge(l protocol.List, whole bool) []notchpond.Host {
+	out := make([]notchpond.Host, 0, len(l.Targets))
+	listed := make(map[*host]bool, len(l.Targets))
+	for _, t := range l.Targets {
+		h := n.byUID[t.UID]
+		if h == nil {
+			h = &host{id: notchpond.HostID(len(n.hosts) + 1), addr: t.Endpoint, boot: t.BootMs}
+			n.hosts = append(n.hosts, h)
+			n.byUID[t.UID] = h
+		}
+		listed[h] = true
+		if t.State == protocol.Terminated || h.addr != t.Endpoint || h.boot != t.BootMs {
+			h.life++
+			n.closeIdleBackends(h)
+			if t.Endpoint != "" {
+				h.addr = t.Endpoint
+			}
+			h.boot = t.BootMs
+		}
+		if t.State == protocol.Terminating { // it gets nothing new
+			n.closeIdleBackends(h)
+		}
+		zone, ok := n.zones[t.Zone]
+		if !ok {
+			zone = -1
+		}
+		phase := map[protocol.State]notchpond.Phase{protocol.InService: notchpond.PhaseReady,
+			protocol.Terminating: notchpond.PhaseDraining, protocol.Terminated: notchpond.PhaseGone}[t.State]
+		out = append(out, notchpond.Host{ID: h.id, Phase: phase, Zone: zone, Cell: t.Cell, Weight: t.Weight,
+			Started: t.BootMs * 1000})
+	}
+	for _, h := range n.hosts {
+		if whole && !listed[h] {
+			n.closeIdleBackends(h)
+		}
+	}
+	return out
+}
+
+// connect gives an attempt a connection: the idle one used last, or a new one.
+func (n *Node) connect(a *attempt) {
+	h := a.host
+	for len(h.idle) > 0 {
+		b := h.idle[len(h.idle)-1]
+		if b.clean() {
+			n.setIdle(b, false)
+			n.send(b, a)
+			return
+		}
+		n.closeBackend(b) // closed, or with input that no request asked for
+	}
+	if !n.makeRoom(1) {
+		n.log.Warn("no descriptor for a connection", "descriptors", n.descriptors)
+		n.settle(a, notchpond.ConnectFailed, nil)
+		return
+	}
+	h.waiting = append(h.waiting, a)
+	n.dial(h)
+	n.at(n.now()+n.set.ConnectTimeout, func() {
+		if !a.over && a.backend == nil {
+			n.giveUp(a, notchpond.ConnectFailed)
+		}
+	})
+}
+
+func (n *Node) dial(h *host) {
+	b := &backend{n: n, host: h, life: h.life}
+	h.dials++
+	n.descriptors++
+	addr := h.addr
+	go func() {
+		conn, err := netpoll.DialConnection("tcp", addr, time.Duration(n.set.ConnectTimeout)*time.Microsecond)
+		if err == nil {
+			b.conn = conn
+			_ = conn.SetWriteTimeout(writeTimeout)
+			b.onClose(func() { n.post(b.gone) })
+			err = conn.SetOnRequest(func(_ context.Context, conn netpoll.Connection) error {
+				buf, err := take(conn)
+				if err == nil {
+					n.post(func() { b.receive(buf) })
+				}
+				return err
+			})
+		}
+		n.post(func() { n.dialled(b, err) })
+	}()
+}
+
+// dialled is a connection that has come up or not. It goes to whoever has waited longest.
+func (n *Node) dialled(b *backend, err error) {
+	h := b.host
+	h.dials--
+	b.up = true
+	if err != nil || !b.conn.IsActive() {
+		b.closed = true
+		n.descriptors--
+		if b.conn != nil {
+			_ = b.conn.Close()
+		}
+		if len(h.waiting) > h.dials { // one of them waits in vain
+			n.log.Debug("connect failed", "host", h.addr, "err", err)
+			n.giveUp(h.waiting[0], notchpond.ConnectFailed)
+		}
+		return
+	}
+	n.reuse(b)
+}
+
+// reuse gives a connection that carries nothing to the next attempt, or keeps it.
+func (n *Node) reuse(b *backend) {
+	h := b.host
+	switch {
+	case b.closed:
+	case b.life != h.life || !b.clean():
+		n.closeBackend(b)
+		if len(h.waiting) > h.dials {
+			n.dial(h)
+		}
+	case len(h.waiting) > 0:
+		a := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		n.send(b, a)
+	default:
+		n.setIdle(b, true)
+	}
+}
+
+func (n *Node) setIdle(b *backend, on bool) {
+	if b.idle != nil {
+		n.idleBackends.Remove(b.idle)
+		b.idle = nil
+		for i, other := range b.host.idle {
+			if other == b {
+				b.host.idle = append(b.host.idle[:i], b.host.idle[i+1:]...)
+				break
+			}
+		}
+	}
+	if on {
+		b.idleSince = n.now()
+		b.idle = n.idleBackends.PushBack(b)
+		b.host.idle = append(b.host.idle, b)
+	}
+}
+
+// send writes an attempt's request.
+func (n *Node) send(b *backend, a *attempt) {
+	r := a.req
+	a.backend, b.att, b.written = b, a, false
+	b.msg = protocol.Message{}
+	head, held := newBuffer(), r.buf.retain()
+	body := r.msg.Body(r.buf.bytes())
+	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, len(body), max((r.deadline-n.now())/1000, 1))
+	n.write(&b.socket, func(err error) {
+		head.release()
+		held.release()
+		if b.closed {
+			return
+		}
+		switch {
+		case b.answered && err == nil:
+			b.written, b.answered = true, false
+			n.reuse(b)
+		case b.answered:
+			n.closeBackend(b)
+		case err != nil: // not all of the request was written: it has never begun
+			n.closeBackend(b)
+			n.settle(a, notchpond.ConnectFailed, nil)
+		case b.hungUp:
+			n.closeBackend(b)
+			n.settle(a, notchpond.Reset, nil)
+		default:
+			b.written = true
+		}
+	}, out, body)
+}
+
+// receive takes in what the host sent.
+func (b *backend) receive(buf *buffer) {
+	defer buf.release()
+	if b.closed {
+		return
+	}
+	if b.att == nil { // nothing was asked
+		b.n.closeBackend(b)
+		return
+	}
+	if b.in == nil {
+		b.in = buf.retain()
+		b.read(0)
+		return
+	}
+	rest := buf.bytes()
+	for len(rest) > 0 && b.att != nil && !b.closed {
+		rest = b.in.add(rest)
+		b.read(len(rest))
+	}
+}
+
+// read parses what has come; more bytes wait that found no room.
+func (b *backend) read(more int) {
+	n, a := b.n, b.att
+	size, whole, err := b.msg.Response(b.in.bytes())
+	b.in.n = size
+	switch {
+	case err != nil || !whole && size == protocol.BufferSize:
+		n.log.Warn("bad answer", "host", b.host.addr, "err", err)
+		n.closeBackend(b)
+		n.settle(a, notchpond.Reset, nil) // it may have run
+	case whole:
+		b.finish(more > 0)
+	}
+}
+
+// finish is a whole answer.
+func (b *backend) finish(unread bool) {
+	n, a, in, msg := b.n, b.att, b.in, b.msg
+	keep := msg.KeepAlive && !b.hungUp && !unread && len(msg.Rest(in.bytes())) == 0
+	b.att, b.in = nil, nil
+	switch {
+	case !keep:
+		n.closeBackend(b)
+	case b.written:
+		n.reuse(b)
+	default:
+		b.answered = true
+	}
+	var report *notchpond.Report
+	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
+		report = &notchpond.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
+	}
+	switch {
+	case msg.Status == 200:
+		n.answer(a.req, in.retain(), 200, msg.Fields, msg.Body(in.bytes()), 0)
+		n.settle(a, notchpond.OK, report)
+	case (msg.Status == 503 || msg.Status == 504) && string(msg.Get("x-never-ran")) == "1":
+		n.settle(a, notchpond.Full, report)
+	default:
+		n.settle(a, notchpond.HostError, report)
+	}
+	in.release()
+}
+
+// gone is a connection that has ended.
+func (b *backend) gone() {
+	n, a := b.n, b.att
+	switch {
+	case b.closed || !b.up: // dialled will see it
+	case a == nil:
+		n.closeBackend(b)
+	case !b.written:
+		b.hungUp = true // whether all was written decides what this means
+	case b.msg.EOF():
+		b.hungUp = true
+		b.finish(false)
+	default:
+		n.closeBackend(b)
+		n.settle(a, notchpond.Reset, nil)
+	}
+}
+
+// closeBackend ends a connection. An attempt on it must be settled by the caller.
+func (n *Node) closeBackend(b *backend) {
+	if b.closed {
+		return
+	}
+	b.closed = true
+	n.setIdle(b, false)
+	n.descriptors--
+	b.att = nil
+	b.in.release()
+	b.in = nil
+	_ = b.conn.Close()
+}
+
+func (n *Node) closeIdleBackends(h *host) {
+	for len(h.idle) > 0 {
+		n.closeBackend(h.idle[0])
+	}
+}
+
+// makeRoom closes the oldest idle connections until so many more descriptors fit, and tells whether they do.
+func (n *Node) makeRoom(more int) bool {
+	for n.set.Sockets > 0 && n.descriptors+more > n.set.Sockets-reserve {
+		if e := n.idleBackends.Front(); e != nil {
+			n.closeBackend(e.Value.(*backend))
+		} else if e := n.idleClients.Front(); e != nil {
+			e.Value.(*client).close()
+		} else {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/node/request.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"notchpond"
+	"notchpond/internal/protocol"
+)
+
+// request is one that this node has taken: it gets exactly one answer.
+type request struct {
+	id       notchpond.ReqID
+	msg      *protocol.Message
+	buf      *buffer // msg points into it
+	class    int
+	tenant   int
+	deadline int64
+	client   *client
+	attempts []*attempt
+	out      int  // attempts without an outcome
+	done     bool // answered, or nobody waits any more
+}
+
+// attempt is one Try of a request.
+type attempt struct {
+	req     *request
+	number  int
+	host    *host
+	sent    int64
+	backend *backend // once it has a connection
+	over    bool     // it has its outcome
+}
+
+// admit makes a request of what a client sent, or says why not: these refusals are the node's own and come
+// before the module hears of the request.
+func (n *Node) admit(msg *protocol.Message, buf *buffer, at int64) (r *request, status int, why string) {
+	switch string(msg.Method) {
+	case "HEAD", "CONNECT", "TRACE", "OPTIONS":
+		return nil, 405, "method not allowed"
+	}
+	name := msg.Get("x-qos")
+	if name == nil { // the first part of the path holds it too
+		name, _, _ = bytes.Cut(msg.Target[1:], []byte("?"))
+		name, _, _ = bytes.Cut(name, []byte("/"))
+	}
+	class, ok := n.classes[string(name)]
+	if !ok {
+		return nil, 400, "unknown class"
+	}
+	tenant := 0
+	if len(n.tenants) > 0 {
+		if tenant, ok = n.tenants[string(msg.Get("x-customer"))]; !ok {
+			return nil, 400, "unknown tenant"
+		}
+	}
+	if len(msg.Get("x-trace-id")) == 0 {
+		return nil, 400, "no X-Trace-Id"
+	}
+	c := &n.set.Module.Classes[class]
+	if c.Effect == notchpond.ByKey && len(msg.Get("idempotency-key")) == 0 {
+		return nil, 400, "no Idempotency-Key"
+	}
+	wait := c.Deadline
+	if v := msg.Get("x-expires-in-ms"); v != nil {
+		ms, err := strconv.ParseUint(string(v), 10, 32)
+		if err != nil {
+			return nil, 400, "malformed X-Expires-In-Ms"
+		}
+		wait = min(wait, int64(ms)*1000)
+	}
+	if n.set.MaxOpen > 0 && n.open >= n.set.MaxOpen {
+		return nil, 503, "too many open requests"
+	}
+	n.lastID++
+	return &request{id: n.lastID, msg: msg, buf: buf, class: class, tenant: tenant, deadline: at + wait}, 0, ""
+}
+
+// begin hands a request to the module.
+func (n *Node) begin(r *request, at int64) {
+	n.open++
+	n.requests[r.id] = r
+	n.at(r.deadline+n.set.Grace, func() {
+		if !r.done { // the module owed an answer by now; the client must not wait for ever
+			n.log.Error("request overdue", "id", r.id, "attempts", len(r.attempts))
+			n.answer(r, nil, 504, nil, []byte("overdue\n"), 0)
+			n.bal.Gone(n.now(), r.id)
+		}
+	})
+	n.bal.Request(at, notchpond.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
+		Repeat: string(r.msg.Get("x-second-try")) == "1"})
+}
+
+// answer gives a request its one answer.
+func (n *Node) answer(r *request, held *buffer, status int, fields []protocol.Field, body []byte, retry int64) {
+	if n.end(r) {
+		r.client.reply(held, status, fields, body, retry)
+	} else {
+		held.release()
+	}
+}
+
+// end marks a request as over, and returns whether it was not before.
+func (n *Node) end(r *request) bool {
+	if r.done {
+		return false
+	}
+	r.done = true
+	n.open--
+	n.forget(r)
+	return true
+}
+
+// forget drops a request of which nothing more can come.
+func (n *Node) forget(r *request) {
+	if r.done && r.out == 0 && r.buf != nil {
+		delete(n.requests, r.id)
+		r.buf.release()
+		r.buf = nil
+	}
+}
+
+func (n *Node) clientGone(r *request) {
+	if n.end(r) {
+		n.bal.Gone(n.now(), r.id)
+	}
+}
+
+// settle gives an attempt its one outcome. The module hears of it after the call it may be in.
+func (n *Node) settle(a *attempt, outcome notchpond.Outcome, report *notchpond.Report) {
+	if a.over {
+		return
+	}
+	a.over = true
+	s := notchpond.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
+		Took: n.now() - a.sent, Report: report}
+	n.later = append(n.later, func() {
+		a.req.out--
+		s.Closed = a.req.done
+		n.bal.Settled(n.now(), s)
+		n.forget(a.req)
+	})
+}
+
+// ---- the module's Actions ----
+
+var _ notchpond.Actions = (*Node)(nil)
+
+// Try sends a request to a host.
+func (n *Node) Try(id notchpond.ReqID, hostID notchpond.HostID, timeout notchpond.Span) {
+	r := n.requests[id]
+	if r == nil || hostID == 0 || int(hostID) > len(n.hosts) {
+		panic(fmt.Sprintf("node: Try of request %d at host %d: unknown", id, hostID))
+	}
+	now := n.now()
+	a := &attempt{req: r, number: len(r.attempts), host: n.hosts[hostID-1], sent: now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	till := r.deadline
+	if timeout != 0 {
+		till = min(till, now+timeout)
+	}
+	switch {
+	case r.done || now >= r.deadline || len(r.attempts) > max(n.set.Module.MaxAttempts, 1):
+		n.settle(a, notchpond.Moot, nil)
+		return
+	case !n.set.Module.MayDuplicate && r.out > 1:
+		n.settle(a, notchpond.Moot, nil)
+		return
+	case till <= now:
+		n.settle(a, notchpond.TimedOut, nil)
+		return
+	}
+	n.at(till, func() {
+		if !a.over {
+			n.giveUp(a, notchpond.TimedOut)
+		}
+	})
+	n.connect(a)
+}
+
+// giveUp ends an attempt that is still out. What never had a connection has never run.
+func (n *Node) giveUp(a *attempt, outcome notchpond.Outcome) {
+	if b := a.backend; b != nil {
+		n.closeBackend(b)
+	} else {
+		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
+		if outcome == notchpond.TimedOut {
+			outcome = notchpond.ConnectFailed
+		}
+	}
+	n.settle(a, outcome, nil)
+}
+
+// Cancel stops waiting for an attempt.
+func (n *Node) Cancel(id notchpond.ReqID, number int) {
+	if r := n.requests[id]; r != nil && number < len(r.attempts) && !r.attempts[number].over {
+		n.giveUp(r.attempts[number], notchpond.Cancelled)
+	}
+}
+
+// Decline refuses a request: trying again does no harm.
+func (n *Node) Decline(id notchpond.ReqID, retryIn notchpond.Span) {
+	if r := n.requests[id]; r != nil {
+		n.answer(r, nil, 503, nil, []byte("refused\n"), retryIn)
+	}
+}
+
+// Fail ends a request without a promise about its effect.
+func (n *Node) Fail(id notchpond.ReqID) {
+	r := n.requests[id]
+	if r == nil {
+		return
+	}
+	status := 502
+	if r.out > 0 { // nothing came in time
+		status = 504
+	}
+	n.answer(r, nil, status, nil, []byte("failed\n"), 0)
+}
+
+// Probe is never carried out: app boxes may not be probed. The settings say so, and the module keeps to it.
+func (n *Node) Probe(notchpond.HostID) {}
+
+// WakeAt sets one of the module's timers.
+func (n *Node) WakeAt(t notchpond.Token, delay notchpond.Span) {
+	n.at(n.now()+max(delay, 1), func() { n.bal.Wake(n.now(), t) })
+}
+
+// Observe asks discovery for changes from here on.
+func (n *Node) Observe(on bool) { n.discovery.Observe(on) }
+
+// Fetch asks discovery for the whole list, once.
+func (n *Node) Fetch() { n.discovery.Fetch() }
+
+// Log writes a line of the module's.
+func (n *Node) Log(text string) { n.log.Info("decision", "text", text) }
--- /dev/null
+++ b/internal/protocol/discovery.go
@@ -0,0 +1,90 @@
+package protocol
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// State is what discovery says of a backend.
+type State uint8
+
+// The states of a backend.
+const (
+	InService State = iota
+	Terminating
+	Terminated
+)
+
+// Target is one backend in discovery's list.
+type Target struct {
+	UID, Endpoint, Zone string
+	Cell                int
+	State               State
+	Weight              float64
+	BootMs              int64 // Unix time of its last start; 0: long ago
+}
+
+// List is what discovery answers: all backends, or those that changed.
+type List struct {
+	Rev     int64
+	All     bool
+	Targets []Target
+}
+
+// maxTargets bounds a list that discovery sends.
+const maxTargets = 1 << 14
+
+// ParseList reads a list of discovery's, or says what is wrong with it.
+func ParseList(raw []byte) (List, error) {
+	var in struct {
+		Rev     int64 `json:"rev"`
+		All     bool  `json:"all"`
+		Targets []struct {
+			UID      string  `json:"uid"`
+			Endpoint string  `json:"endpoint"`
+			Zone     string  `json:"az"`
+			Cell     int     `json:"pod_group"`
+			State    string  `json:"state"`
+			Weight   float64 `json:"capacity_hint"`
+			BootMs   int64   `json:"boot_ms"`
+		} `json:"targets"`
+	}
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &in); err != nil {
+		return List{}, fmt.Errorf("list of backends: %w", err)
+	}
+	if len(in.Targets) > maxTargets {
+		return List{}, fmt.Errorf("list of backends: %d targets, over %d", len(in.Targets), maxTargets)
+	}
+	out := List{Rev: in.Rev, All: in.All, Targets: make([]Target, 0, len(in.Targets))}
+	for i, t := range in.Targets {
+		state, ok := map[string]State{"in_service": InService, "terminating": Terminating,
+			"terminated": Terminated}[t.State]
+		if !ok {
+			return List{}, fmt.Errorf("targets[%d].state: unknown state %q", i, t.State)
+		}
+		if t.UID == "" {
+			return List{}, fmt.Errorf("targets[%d].uid: empty", i)
+		}
+		if _, err := netip.ParseAddrPort(t.Endpoint); err != nil && state != Terminated {
+			return List{}, fmt.Errorf("targets[%d].endpoint: %w", i, err)
+		}
+		out.Targets = append(out.Targets, Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell,
+			State: state, Weight: t.Weight, BootMs: max(t.BootMs, 0)})
+	}
+	return out, nil
+}
+
+// AppendListRequest appends a request for the whole list.
+func AppendListRequest(dst []byte, host string) []byte {
+	return append(append(append(dst, "GET /v1/endpoints HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
+}
+
+// AppendWatchRequest appends a request for what is newer than a version, which may wait for so long.
+func AppendWatchRequest(dst []byte, host string, since, waitMs int64) []byte {
+	dst = strconv.AppendInt(append(dst, "GET /v1/endpoints?since="...), since, 10)
+	dst = strconv.AppendInt(append(dst, "&timeout_ms="...), waitMs, 10)
+	return append(append(append(dst, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
+}
