--- a/api.go
+++ b/api.go
@@ -1,9 +1,9 @@
-// Package notchpond makes the decisions of a reverse proxy that spreads requests over HTTP servers: which
+// Package tulipglade makes the decisions of a reverse proxy that spreads requests over HTTP servers: which
 // host takes a request, what is held, what is refused, what is tried again. It does no input or output of
 // its own. A gateway hands events to a Balancer and carries out the Actions it answers with.
 //
 // This file is the whole interface; balancer.go holds every decision.
-package notchpond
+package tulipglade
 
 // Time is a point on the gateway's clock and Span a length of time, both in microseconds.
 type (
--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,6 @@
-package notchpond
+package tulipglade
 
-// Every decision of notchpond is in this file; its interface (types, events, actions) is in api.go.
+// Every decision of tulipglade is in this file; its interface (types, events, actions) is in api.go.
 // The mechanism follows Katsalis et al.; docs/design.md says what was kept and where it departs.
 
 import "math"
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"notchpond"
-	"notchpond/internal/wire"
+	"tulipglade"
+	"tulipglade/internal/wire"
 )
 
 func main() {
@@ -21,7 +21,7 @@
 
 func run(in io.Reader, out io.Writer) error {
 	reader, w := wire.NewReader(bufio.NewReaderSize(in, 1<<16)), &wire.Writer{}
-	live := map[uint32]*notchpond.Balancer{}
+	live := map[uint32]*tulipglade.Balancer{}
 	for {
 		batch, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -42,14 +42,14 @@
 }
 
 // step hands one event to its instance; a panic in the module becomes a Fault.
-func step(live map[uint32]*notchpond.Balancer, w *wire.Writer, now notchpond.Time, ev *wire.Event) error {
+func step(live map[uint32]*tulipglade.Balancer, w *wire.Writer, now tulipglade.Time, ev *wire.Event) error {
 	defer func() {
 		if p := recover(); p != nil {
 			w.Fault(ev.Instance, fmt.Sprint(p))
 		}
 	}()
 	if ev.Code == wire.PowerOn {
-		b, err := notchpond.New(ev.Config, ev.Seed, wire.Instance{W: w, ID: ev.Instance})
+		b, err := tulipglade.New(ev.Config, ev.Seed, wire.Instance{W: w, ID: ev.Instance})
 		if err != nil {
 			return err
 		}
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"notchpond"
-	"notchpond/internal/wire"
+	"tulipglade"
+	"tulipglade/internal/wire"
 )
 
 func batch(recs []byte, tail string) []byte {
@@ -60,15 +60,15 @@
 
 func TestPanicBecomesFault(t *testing.T) {
 	w := &wire.Writer{}
-	live := map[uint32]*notchpond.Balancer{7: {}} // no settings: the module divides by its tenants
+	live := map[uint32]*tulipglade.Balancer{7: {}} // no settings: the module divides by its tenants
 	ev := wire.Event{Code: wire.Settled, Instance: 7}
 	if err := step(live, w, 1, &ev); err != nil {
 		t.Fatal(err)
 	}
 	live[7] = nil
 	_ = w.Flush(&bytes.Buffer{})
-	broken := wire.Event{Code: wire.Members, Instance: 7, Hosts: []notchpond.Host{{ID: 1, Phase: notchpond.PhaseReady}}}
-	live[7] = &notchpond.Balancer{}
+	broken := wire.Event{Code: wire.Members, Instance: 7, Hosts: []tulipglade.Host{{ID: 1, Phase: tulipglade.PhaseReady}}}
+	live[7] = &tulipglade.Balancer{}
 	if err := step(live, w, 1, &broken); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/tulipglade/main.go
+++ b/cmd/tulipglade/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"notchpond/internal/daemon"
+	"tulipglade/internal/daemon"
 )
 
 func main() {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -1,4 +1,4 @@
-package notchpond
+package tulipglade
 
 import "testing"
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,9 +10,9 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"notchpond/internal/node"
-	"notchpond/internal/protocol"
-	"notchpond/internal/wire"
+	"tulipglade/internal/node"
+	"tulipglade/internal/protocol"
+	"tulipglade/internal/wire"
 )
 
 // Config is all that a node is told at its start.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"notchpond/internal/node"
+	"tulipglade/internal/node"
 )
 
 // drainGrace is how long after SIGTERM new requests still come and count.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -8,7 +8,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"notchpond/internal/protocol"
+	"tulipglade/internal/protocol"
 )
 
 // How the watch asks. A call that may wait is noticed as lost when it has not ended callSlack after that wait.
--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -5,7 +5,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"notchpond/internal/protocol"
+	"tulipglade/internal/protocol"
 )
 
 // buffer is a piece of memory of the one size that holds any message. Its users count: those that an answer
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -8,7 +8,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"notchpond/internal/protocol"
+	"tulipglade/internal/protocol"
 )
 
 // writeTimeout is how long a client may take to read an answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,13 +12,13 @@
 	"sync"
 	"time"
 
-	"notchpond"
-	"notchpond/internal/protocol"
+	"tulipglade"
+	"tulipglade/internal/protocol"
 )
 
 // Settings is what a node is told at its start. All times are in microseconds.
 type Settings struct {
-	Module         notchpond.Config
+	Module         tulipglade.Config
 	Seed           uint64
 	Classes        []string // by number, as in Module.Classes
 	Tenants        []string
@@ -46,7 +46,7 @@
 	set       Settings
 	log       *slog.Logger
 	discovery Discovery
-	bal       *notchpond.Balancer
+	bal       *tulipglade.Balancer
 	epoch     time.Time
 	epochUs   int64
 
@@ -60,8 +60,8 @@
 	timerSeq uint64
 
 	classes, tenants, zones map[string]int
-	requests                map[notchpond.ReqID]*request
-	lastID                  notchpond.ReqID
+	requests                map[tulipglade.ReqID]*request
+	lastID                  tulipglade.ReqID
 	open                    int // requests taken and not answered
 	writing                 int // answers on their way out
 	hosts                   []*host
@@ -80,9 +80,9 @@
 	start := time.Now()
 	n := &Node{set: set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
 		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
-		zones: index(set.Zones), requests: map[notchpond.ReqID]*request{}, byUID: map[string]*host{},
+		zones: index(set.Zones), requests: map[tulipglade.ReqID]*request{}, byUID: map[string]*host{},
 		clients: map[*client]struct{}{}}
-	bal, err := notchpond.New(set.Module, set.Seed, n)
+	bal, err := tulipglade.New(set.Module, set.Seed, n)
 	if err != nil {
 		return nil, err
 	}
@@ -246,14 +246,14 @@
 // Members is news about the backends. Cached tells that the list may be out of date.
 func (n *Node) Members(l protocol.List, cached bool) {
 	n.post(func() {
-		kind := notchpond.ListDelta
+		kind := tulipglade.ListDelta
 		if l.All {
-			kind = notchpond.ListFull
+			kind = tulipglade.ListFull
 		}
 		if cached {
-			kind = notchpond.ListCached
+			kind = tulipglade.ListCached
 		}
-		hosts := n.merge(l, kind != notchpond.ListDelta)
+		hosts := n.merge(l, kind != tulipglade.ListDelta)
 		if !n.listed || len(hosts) > 0 {
 			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
 		}
@@ -266,6 +266,6 @@
 func (n *Node) MembersFailed(err error) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		n.bal.Members(n.now(), notchpond.ListFailed, nil)
+		n.bal.Members(n.now(), tulipglade.ListFailed, nil)
 	})
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -7,13 +7,13 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"notchpond"
-	"notchpond/internal/protocol"
+	"tulipglade"
+	"tulipglade/internal/protocol"
 )
 
 // host is one backend that discovery has named. It keeps its id for the process's life.
 type host struct {
-	id      notchpond.HostID
+	id      tulipglade.HostID
 	addr    string
 	boot    int64
 	life    int // counts its processes: a connection to an earlier one is never used again
@@ -41,13 +41,13 @@
 }
 
 // merge takes a list into the pool and turns it into the module's form.
-func (n *Node) merge(l protocol.List, whole bool) []notchpond.Host {
-	out := make([]notchpond.Host, 0, len(l.Targets))
+func (n *Node) merge(l protocol.List, whole bool) []tulipglade.Host {
+	out := make([]tulipglade.Host, 0, len(l.Targets))
 	listed := make(map[*host]bool, len(l.Targets))
 	for _, t := range l.Targets {
 		h := n.byUID[t.UID]
 		if h == nil {
-			h = &host{id: notchpond.HostID(len(n.hosts) + 1), addr: t.Endpoint, boot: t.BootMs}
+			h = &host{id: tulipglade.HostID(len(n.hosts) + 1), addr: t.Endpoint, boot: t.BootMs}
 			n.hosts = append(n.hosts, h)
 			n.byUID[t.UID] = h
 		}
@@ -67,9 +67,9 @@
 		if !ok {
 			zone = -1
 		}
-		phase := map[protocol.State]notchpond.Phase{protocol.InService: notchpond.PhaseReady,
-			protocol.Terminating: notchpond.PhaseDraining, protocol.Terminated: notchpond.PhaseGone}[t.State]
-		out = append(out, notchpond.Host{ID: h.id, Phase: phase, Zone: zone, Cell: t.Cell, Weight: t.Weight,
+		phase := map[protocol.State]tulipglade.Phase{protocol.InService: tulipglade.PhaseReady,
+			protocol.Terminating: tulipglade.PhaseDraining, protocol.Terminated: tulipglade.PhaseGone}[t.State]
+		out = append(out, tulipglade.Host{ID: h.id, Phase: phase, Zone: zone, Cell: t.Cell, Weight: t.Weight,
 			Started: t.BootMs * 1000})
 	}
 	for _, h := range n.hosts {
@@ -94,14 +94,14 @@
 	}
 	if !n.makeRoom(1) {
 		n.log.Warn("no descriptor for a connection", "descriptors", n.descriptors)
-		n.settle(a, notchpond.ConnectFailed, nil)
+		n.settle(a, tulipglade.ConnectFailed, nil)
 		return
 	}
 	h.waiting = append(h.waiting, a)
 	n.dial(h)
 	n.at(n.now()+n.set.ConnectTimeout, func() {
 		if !a.over && a.backend == nil {
-			n.giveUp(a, notchpond.ConnectFailed)
+			n.giveUp(a, tulipglade.ConnectFailed)
 		}
 	})
 }
@@ -142,7 +142,7 @@
 		}
 		if len(h.waiting) > h.dials { // one of them waits in vain
 			n.log.Debug("connect failed", "host", h.addr, "err", err)
-			n.giveUp(h.waiting[0], notchpond.ConnectFailed)
+			n.giveUp(h.waiting[0], tulipglade.ConnectFailed)
 		}
 		return
 	}
@@ -208,10 +208,10 @@
 			n.closeBackend(b)
 		case err != nil: // not all of the request was written: it has never begun
 			n.closeBackend(b)
-			n.settle(a, notchpond.ConnectFailed, nil)
+			n.settle(a, tulipglade.ConnectFailed, nil)
 		case b.hungUp:
 			n.closeBackend(b)
-			n.settle(a, notchpond.Reset, nil)
+			n.settle(a, tulipglade.Reset, nil)
 		default:
 			b.written = true
 		}
@@ -249,7 +249,7 @@
 	case err != nil || !whole && size == protocol.BufferSize:
 		n.log.Warn("bad answer", "host", b.host.addr, "err", err)
 		n.closeBackend(b)
-		n.settle(a, notchpond.Reset, nil) // it may have run
+		n.settle(a, tulipglade.Reset, nil) // it may have run
 	case whole:
 		b.finish(more > 0)
 	}
@@ -268,18 +268,18 @@
 	default:
 		b.answered = true
 	}
-	var report *notchpond.Report
+	var report *tulipglade.Report
 	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
-		report = &notchpond.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
+		report = &tulipglade.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
 	}
 	switch {
 	case msg.Status == 200:
 		n.answer(a.req, in.retain(), 200, msg.Fields, msg.Body(in.bytes()), 0)
-		n.settle(a, notchpond.OK, report)
+		n.settle(a, tulipglade.OK, report)
 	case (msg.Status == 503 || msg.Status == 504) && string(msg.Get("x-never-ran")) == "1":
-		n.settle(a, notchpond.Full, report)
+		n.settle(a, tulipglade.Full, report)
 	default:
-		n.settle(a, notchpond.HostError, report)
+		n.settle(a, tulipglade.HostError, report)
 	}
 	in.release()
 }
@@ -298,7 +298,7 @@
 		b.finish(false)
 	default:
 		n.closeBackend(b)
-		n.settle(a, notchpond.Reset, nil)
+		n.settle(a, tulipglade.Reset, nil)
 	}
 }
 
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -6,13 +6,13 @@
 	"slices"
 	"strconv"
 
-	"notchpond"
-	"notchpond/internal/protocol"
+	"tulipglade"
+	"tulipglade/internal/protocol"
 )
 
 // request is one that this node has taken: it gets exactly one answer.
 type request struct {
-	id       notchpond.ReqID
+	id       tulipglade.ReqID
 	msg      *protocol.Message
 	buf      *buffer // msg points into it
 	class    int
@@ -60,7 +60,7 @@
 		return nil, 400, "no X-Trace-Id"
 	}
 	c := &n.set.Module.Classes[class]
-	if c.Effect == notchpond.ByKey && len(msg.Get("idempotency-key")) == 0 {
+	if c.Effect == tulipglade.ByKey && len(msg.Get("idempotency-key")) == 0 {
 		return nil, 400, "no Idempotency-Key"
 	}
 	wait := c.Deadline
@@ -89,7 +89,7 @@
 			n.bal.Gone(n.now(), r.id)
 		}
 	})
-	n.bal.Request(at, notchpond.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
+	n.bal.Request(at, tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
 		Repeat: string(r.msg.Get("x-second-try")) == "1"})
 }
 
@@ -129,12 +129,12 @@
 }
 
 // settle gives an attempt its one outcome. The module hears of it after the call it may be in.
-func (n *Node) settle(a *attempt, outcome notchpond.Outcome, report *notchpond.Report) {
+func (n *Node) settle(a *attempt, outcome tulipglade.Outcome, report *tulipglade.Report) {
 	if a.over {
 		return
 	}
 	a.over = true
-	s := notchpond.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
+	s := tulipglade.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
 		Took: n.now() - a.sent, Report: report}
 	n.later = append(n.later, func() {
 		a.req.out--
@@ -146,10 +146,10 @@
 
 // ---- the module's Actions ----
 
-var _ notchpond.Actions = (*Node)(nil)
+var _ tulipglade.Actions = (*Node)(nil)
 
 // Try sends a request to a host.
-func (n *Node) Try(id notchpond.ReqID, hostID notchpond.HostID, timeout notchpond.Span) {
+func (n *Node) Try(id tulipglade.ReqID, hostID tulipglade.HostID, timeout tulipglade.Span) {
 	r := n.requests[id]
 	if r == nil || hostID == 0 || int(hostID) > len(n.hosts) {
 		panic(fmt.Sprintf("node: Try of request %d at host %d: unknown", id, hostID))
@@ -164,52 +164,52 @@
 	}
 	switch {
 	case r.done || now >= r.deadline || len(r.attempts) > max(n.set.Module.MaxAttempts, 1):
-		n.settle(a, notchpond.Moot, nil)
+		n.settle(a, tulipglade.Moot, nil)
 		return
 	case !n.set.Module.MayDuplicate && r.out > 1:
-		n.settle(a, notchpond.Moot, nil)
+		n.settle(a, tulipglade.Moot, nil)
 		return
 	case till <= now:
-		n.settle(a, notchpond.TimedOut, nil)
+		n.settle(a, tulipglade.TimedOut, nil)
 		return
 	}
 	n.at(till, func() {
 		if !a.over {
-			n.giveUp(a, notchpond.TimedOut)
+			n.giveUp(a, tulipglade.TimedOut)
 		}
 	})
 	n.connect(a)
 }
 
 // giveUp ends an attempt that is still out. What never had a connection has never run.
-func (n *Node) giveUp(a *attempt, outcome notchpond.Outcome) {
+func (n *Node) giveUp(a *attempt, outcome tulipglade.Outcome) {
 	if b := a.backend; b != nil {
 		n.closeBackend(b)
 	} else {
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
-		if outcome == notchpond.TimedOut {
-			outcome = notchpond.ConnectFailed
+		if outcome == tulipglade.TimedOut {
+			outcome = tulipglade.ConnectFailed
 		}
 	}
 	n.settle(a, outcome, nil)
 }
 
 // Cancel stops waiting for an attempt.
-func (n *Node) Cancel(id notchpond.ReqID, number int) {
+func (n *Node) Cancel(id tulipglade.ReqID, number int) {
 	if r := n.requests[id]; r != nil && number < len(r.attempts) && !r.attempts[number].over {
-		n.giveUp(r.attempts[number], notchpond.Cancelled)
+		n.giveUp(r.attempts[number], tulipglade.Cancelled)
 	}
 }
 
 // Decline refuses a request: trying again does no harm.
-func (n *Node) Decline(id notchpond.ReqID, retryIn notchpond.Span) {
+func (n *Node) Decline(id tulipglade.ReqID, retryIn tulipglade.Span) {
 	if r := n.requests[id]; r != nil {
 		n.answer(r, nil, 503, nil, []byte("refused\n"), retryIn)
 	}
 }
 
 // Fail ends a request without a promise about its effect.
-func (n *Node) Fail(id notchpond.ReqID) {
+func (n *Node) Fail(id tulipglade.ReqID) {
 	r := n.requests[id]
 	if r == nil {
 		return
@@ -222,10 +222,10 @@
 }
 
 // Probe is never carried out: app boxes may not be probed. The settings say so, and the module keeps to it.
-func (n *Node) Probe(notchpond.HostID) {}
+func (n *Node) Probe(tulipglade.HostID) {}
 
 // WakeAt sets one of the module's timers.
-func (n *Node) WakeAt(t notchpond.Token, delay notchpond.Span) {
+func (n *Node) WakeAt(t tulipglade.Token, delay tulipglade.Span) {
 	n.at(n.now()+max(delay, 1), func() { n.bal.Wake(n.now(), t) })
 }
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"fmt"
 
-	"notchpond"
+	"tulipglade"
 )
 
 // Settings turns boot JSON into a Config and the names of the load report's values. Unknown keys are
-// skipped; a missing optional key leaves its zero value, of which notchpond.Config says what it means.
-func Settings(raw []byte) (notchpond.Config, []string, error) {
+// skipped; a missing optional key leaves its zero value, of which tulipglade.Config says what it means.
+func Settings(raw []byte) (tulipglade.Config, []string, error) {
 	var s struct {
 		Discovery string `json:"discovery"`
 		Zone      int    `json:"my_zone"`
@@ -51,9 +51,9 @@
 		} `json:"report"`
 	}
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return notchpond.Config{}, nil, err
+		return tulipglade.Config{}, nil, err
 	}
-	c := notchpond.Config{Zone: s.Zone, Peers: s.Peers, Tick: s.Tick, MaxAttempts: s.Limits.Attempts,
+	c := tulipglade.Config{Zone: s.Zone, Peers: s.Peers, Tick: s.Tick, MaxAttempts: s.Limits.Attempts,
 		MayDuplicate: s.Limits.Duplicate, MayCancel: s.Limits.Cancelling, MayProbe: s.Limits.Probing,
 		AskDiscovery: s.Discovery == "ask", AskEvery: s.Rules.AskEvery, ColdFrom: s.Rules.ColdFrom,
 		ColdRamp: s.Rules.Ramp, ColdMultiple: s.Rules.Multiple, ColdWindow: s.Rules.Window,
@@ -65,12 +65,12 @@
 		c.MaxRetryAfter = s.Limits.MaxRetryAfter
 	}
 	for _, t := range s.Tenants {
-		c.Tenants = append(c.Tenants, notchpond.Tenant{Share: t.Share, Quota: t.Quota})
+		c.Tenants = append(c.Tenants, tulipglade.Tenant{Share: t.Share, Quota: t.Quota})
 	}
-	effects := map[string]notchpond.Effect{"repeatable": notchpond.Repeatable, "by_key": notchpond.ByKey,
-		"once": notchpond.Once}
-	scopes := map[string]notchpond.Scope{"": notchpond.ScopeAll, "all": notchpond.ScopeAll,
-		"zone": notchpond.ScopeZone, "cell": notchpond.ScopeCell}
+	effects := map[string]tulipglade.Effect{"repeatable": tulipglade.Repeatable, "by_key": tulipglade.ByKey,
+		"once": tulipglade.Once}
+	scopes := map[string]tulipglade.Scope{"": tulipglade.ScopeAll, "all": tulipglade.ScopeAll,
+		"zone": tulipglade.ScopeZone, "cell": tulipglade.ScopeCell}
 	for i, p := range s.Classes {
 		effect, ok := effects[p.Effect]
 		if !ok {
@@ -80,7 +80,7 @@
 		if !ok {
 			return c, nil, fmt.Errorf("profiles[%d]: unknown key_scope %q", i, p.Scope)
 		}
-		c.Classes = append(c.Classes, notchpond.Class{Aim: p.Aim, Deadline: p.Deadline, Window: p.Window,
+		c.Classes = append(c.Classes, tulipglade.Class{Aim: p.Aim, Deadline: p.Deadline, Window: p.Window,
 			Effect: effect, Scope: scope, LateShare: p.Late})
 	}
 	return c, s.Report.Fields, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"notchpond"
+	"tulipglade"
 )
 
 const (
@@ -40,19 +40,19 @@
 	Code     byte
 	Instance uint32
 	Seed     uint64
-	Config   notchpond.Config
-	List     notchpond.ListKind
-	Hosts    []notchpond.Host
-	Arrival  notchpond.Arrival
-	Settled  notchpond.Settlement
-	Token    notchpond.Token
+	Config   tulipglade.Config
+	List     tulipglade.ListKind
+	Hosts    []tulipglade.Host
+	Arrival  tulipglade.Arrival
+	Settled  tulipglade.Settlement
+	Token    tulipglade.Token
 	From     int
 	Data     []byte
 }
 
 // Batch is one round of events.
 type Batch struct {
-	Now    notchpond.Time
+	Now    tulipglade.Time
 	Events []Event
 }
 
@@ -60,7 +60,7 @@
 type Reader struct {
 	in     io.Reader
 	buf    bytes.Buffer
-	lists  [16][]notchpond.Host
+	lists  [16][]tulipglade.Host
 	known  [16]bool
 	fields map[uint32][]string
 }
@@ -112,8 +112,8 @@
 func u16(b []byte) int    { return int(binary.BigEndian.Uint16(b)) }
 func u32(b []byte) uint32 { return binary.BigEndian.Uint32(b) }
 
-func host(b []byte) notchpond.HostID {
-	return notchpond.HostID(u32(b))<<16 | notchpond.HostID(u16(b[4:]))
+func host(b []byte) tulipglade.HostID {
+	return tulipglade.HostID(u32(b))<<16 | tulipglade.HostID(u16(b[4:]))
 }
 
 // slice cuts n units of size unit out of the tail at the place that rec names.
@@ -152,11 +152,11 @@
 		}
 		r.fields[ev.Instance] = names
 	case Members:
-		ev.List = notchpond.ListKind(rec[5])
-		if ev.List > notchpond.ListFailed {
+		ev.List = tulipglade.ListKind(rec[5])
+		if ev.List > tulipglade.ListFailed {
 			return ev, false, fmt.Errorf("Members: unknown mode %d at byte 5", rec[5])
 		}
-		if ev.List != notchpond.ListFailed {
+		if ev.List != tulipglade.ListFailed {
 			n := u16(rec[6:])
 			if n >= len(r.lists) || !r.known[n] {
 				return ev, false, fmt.Errorf("Members: no Inventory with number %d", n)
@@ -168,31 +168,31 @@
 		if at > math.MaxInt64 {
 			return ev, false, fmt.Errorf("Request: client_deadline_us %d is out of range", at)
 		}
-		ev.Arrival = notchpond.Arrival{ID: notchpond.ReqID(u32(rec[5:])), Tenant: u16(rec[22:]),
+		ev.Arrival = tulipglade.Arrival{ID: tulipglade.ReqID(u32(rec[5:])), Tenant: u16(rec[22:]),
 			Deadline: int64(at), Class: u16(rec[32:]), Repeat: rec[9]&2 != 0}
 	case Streaming:
-		ev.Settled = notchpond.Settlement{ID: notchpond.ReqID(u32(rec[5:])), Took: int64(u32(rec[9:])),
+		ev.Settled = tulipglade.Settlement{ID: tulipglade.ReqID(u32(rec[5:])), Took: int64(u32(rec[9:])),
 			Host: host(rec[13:]), Attempt: u16(rec[19:])}
 	case Settled:
 		code, err := outcome(u16(rec[11:]))
 		if err != nil {
 			return ev, false, fmt.Errorf("Settled: %w", err)
 		}
-		ev.Settled = notchpond.Settlement{ID: notchpond.ReqID(u32(rec[5:])), Attempt: u16(rec[9:]), Outcome: code,
+		ev.Settled = tulipglade.Settlement{ID: tulipglade.ReqID(u32(rec[5:])), Attempt: u16(rec[9:]), Outcome: code,
 			Took: int64(u32(rec[13:])), Host: host(rec[17:]), Closed: rec[23] != 0}
 		if ev.Settled.Report, err = r.report(ev.Instance, rec[24:]); err != nil {
 			return ev, false, fmt.Errorf("Settled: %w", err)
 		}
 	case Gone:
-		ev.Settled.ID = notchpond.ReqID(u32(rec[5:]))
+		ev.Settled.ID = tulipglade.ReqID(u32(rec[5:]))
 	case Elapsed:
-		ev.Token = notchpond.Token(binary.BigEndian.Uint64(rec[5:]))
+		ev.Token = tulipglade.Token(binary.BigEndian.Uint64(rec[5:]))
 	case Check:
 		code, err := outcome(u16(rec[5:]))
 		if err != nil {
 			return ev, false, fmt.Errorf("CheckResult: %w", err)
 		}
-		ev.Settled = notchpond.Settlement{Outcome: code, Host: host(rec[7:]), Took: int64(u32(rec[13:]))}
+		ev.Settled = tulipglade.Settlement{Outcome: code, Host: host(rec[7:]), Took: int64(u32(rec[13:]))}
 		if ev.Settled.Report, err = r.report(ev.Instance, rec[17:]); err != nil {
 			return ev, false, fmt.Errorf("CheckResult: %w", err)
 		}
@@ -209,25 +209,25 @@
 	return ev, false, nil
 }
 
-func outcome(n int) (notchpond.Outcome, error) {
+func outcome(n int) (tulipglade.Outcome, error) {
 	if n%10 != 0 || n < 10 || n > 80 {
 		return 0, fmt.Errorf("unknown outcome %d", n)
 	}
-	return notchpond.Outcome(n), nil
+	return tulipglade.Outcome(n), nil
 }
 
-func entries(raw []byte) ([]notchpond.Host, error) {
-	out := make([]notchpond.Host, 0, len(raw)/entrySize)
+func entries(raw []byte) ([]tulipglade.Host, error) {
+	out := make([]tulipglade.Host, 0, len(raw)/entrySize)
 	for i := 0; i < len(raw); i += entrySize {
 		e := raw[i:]
-		if e[0] > byte(notchpond.PhaseDraining) {
+		if e[0] > byte(tulipglade.PhaseDraining) {
 			return nil, fmt.Errorf("Inventory: entry %d: unknown phase %d", i/entrySize, e[0])
 		}
 		at := binary.BigEndian.Uint64(e[9:])
 		if at > math.MaxInt64 {
 			return nil, fmt.Errorf("Inventory: entry %d: start time %d is out of range", i/entrySize, at)
 		}
-		out = append(out, notchpond.Host{Phase: notchpond.Phase(e[0]), Weight: float64(f32(e[1:])),
+		out = append(out, tulipglade.Host{Phase: tulipglade.Phase(e[0]), Weight: float64(f32(e[1:])),
 			Cell: u16(e[5:]), Zone: u16(e[7:]), Started: int64(at), ID: host(e[17:])})
 	}
 	return out, nil
@@ -235,7 +235,7 @@
 
 func f32(b []byte) float32 { return math.Float32frombits(u32(b)) }
 
-func (r *Reader) report(inst uint32, rec []byte) (*notchpond.Report, error) {
+func (r *Reader) report(inst uint32, rec []byte) (*tulipglade.Report, error) {
 	n := int(rec[0])
 	if n > 4 {
 		return nil, fmt.Errorf("load report of %d values", n)
@@ -243,7 +243,7 @@
 	if n == 0 {
 		return nil, nil
 	}
-	rep := &notchpond.Report{Outstanding: -1, Backlog: -1, Utilization: -1}
+	rep := &tulipglade.Report{Outstanding: -1, Backlog: -1, Utilization: -1}
 	for i, name := range r.fields[inst] {
 		if i >= n {
 			break
@@ -307,44 +307,44 @@
 	ID uint32
 }
 
-func putHost(b []byte, h notchpond.HostID) {
+func putHost(b []byte, h tulipglade.HostID) {
 	binary.BigEndian.PutUint32(b, uint32(h>>16))
 	binary.BigEndian.PutUint16(b[4:], uint16(h))
 }
 
-func span(d notchpond.Span) uint32 { return uint32(max(0, min(d, math.MaxUint32))) }
+func span(d tulipglade.Span) uint32 { return uint32(max(0, min(d, math.MaxUint32))) }
 
-func (a Instance) req(code byte, id notchpond.ReqID) []byte {
+func (a Instance) req(code byte, id tulipglade.ReqID) []byte {
 	rec := a.W.add(code, a.ID)
 	binary.BigEndian.PutUint32(rec[5:], uint32(id))
 	return rec
 }
 
 // Try launches an attempt.
-func (a Instance) Try(id notchpond.ReqID, h notchpond.HostID, timeout notchpond.Span) {
+func (a Instance) Try(id tulipglade.ReqID, h tulipglade.HostID, timeout tulipglade.Span) {
 	rec := a.req(83, id)
 	putHost(rec[9:], h)
 	binary.BigEndian.PutUint32(rec[15:], span(timeout))
 }
 
 // Cancel quits waiting on an attempt.
-func (a Instance) Cancel(id notchpond.ReqID, attempt int) {
+func (a Instance) Cancel(id tulipglade.ReqID, attempt int) {
 	binary.BigEndian.PutUint16(a.req(86, id)[9:], uint16(attempt))
 }
 
 // Decline refuses a request.
-func (a Instance) Decline(id notchpond.ReqID, retryIn notchpond.Span) {
+func (a Instance) Decline(id tulipglade.ReqID, retryIn tulipglade.Span) {
 	binary.BigEndian.PutUint32(a.req(90, id)[9:], span(retryIn))
 }
 
 // Fail ends a request as failed.
-func (a Instance) Fail(id notchpond.ReqID) { a.req(82, id) }
+func (a Instance) Fail(id tulipglade.ReqID) { a.req(82, id) }
 
 // Probe health-checks a host.
-func (a Instance) Probe(h notchpond.HostID) { putHost(a.W.add(84, a.ID)[5:], h) }
+func (a Instance) Probe(h tulipglade.HostID) { putHost(a.W.add(84, a.ID)[5:], h) }
 
 // WakeAt asks for an Elapsed event.
-func (a Instance) WakeAt(t notchpond.Token, delay notchpond.Span) {
+func (a Instance) WakeAt(t tulipglade.Token, delay tulipglade.Span) {
 	rec := a.W.add(80, a.ID)
 	binary.BigEndian.PutUint64(rec[5:], uint64(t))
 	binary.BigEndian.PutUint32(rec[13:], span(delay))
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package notchpond
+package tulipglade
 
 // The state that balancer.go decides on, how it is set up from the settings, and the bookkeeping
 // around it. No decision is made here.
