Test each parser by table and each rule on loopback sockets; close after a refused HEAD

Seen: the new test of the node's own refusals failed on HEAD: the connection stayed open although an answer to HEAD has no body, so ours would have been read as the start of the next answer. At fault: client.request, which now closes after a 405. A serve run now ends with a context too, so that a test can stop it.

Also found by reading: the module was handed the time of a request's arrival as its clock, which could lie before its last event; it gets the present time now. /ready waits until at least one backend has been named.

--- a/cmd/tulipglade/main.go
+++ b/cmd/tulipglade/main.go
@@ -35,12 +35,12 @@
 	}
 }
 
-func serve(_ context.Context, cmd *cli.Command) error {
+func serve(ctx context.Context, cmd *cli.Command) error {
 	c, err := daemon.Load(cmd.String("config"), os.Getenv)
 	if err != nil {
 		return err
 	}
-	return daemon.Serve(c, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return daemon.Serve(ctx, c, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,8 +17,8 @@
 	"tulipglade/internal/node"
 )
 
-// drainGrace is how long after SIGTERM new requests still come and count.
-const drainGrace = 700 * time.Millisecond
+// drainGrace is how long after SIGTERM new requests still come and count: 0.7 s, and the slack of all limits.
+const drainGrace = 750 * time.Millisecond
 
 // stopWithin bounds a stop: by then every deadline has passed.
 const stopWithin = 15 * time.Second
@@ -35,14 +35,15 @@
 	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr})
 }
 
-// Serve runs a node until a signal ends it, and returns once all that was taken has been answered.
-func Serve(c *Config, log *slog.Logger) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+// Serve runs a node until ctx ends or a signal to stop comes, and returns once all that was taken has been
+// answered.
+func Serve(ctx context.Context, c *Config, log *slog.Logger) error {
+	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer release()
 	if err := limit(c); err != nil {
 		return fmt.Errorf("poller: %w", err)
 	}
-	w := &watch{addr: c.Discovery, rev: c.Known.Rev}
+	w := newWatch(c.Discovery, c.Known.Rev)
 	n, err := node.New(c.Node, w, log)
 	if err != nil {
 		return err
@@ -64,25 +65,24 @@
 	}()
 	failed := make(chan error, 1)
 	go func() { failed <- loop.Serve(ln) }()
-	log.Info("serving", "name", c.Name, "listen", c.Listen, "discovery", c.Discovery,
+	log.Info("serving", "name", c.Name, "listen", ln.Addr().String(), "discovery", c.Discovery,
 		"backends", len(c.Known.Targets), "sockets", c.Node.Sockets, "memory_mb", c.MemoryMB)
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
-	case s := <-signals:
-		log.Info("stopping", "signal", s.String())
+	case <-ctx.Done():
+		log.Info("stopping")
 	}
 	drained := make(chan struct{})
 	n.Drain(drainGrace, func() { close(drained) })
-	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
-	defer cancel()
 	select {
 	case <-drained:
 		log.Info("stopped")
-	case <-ctx.Done():
+	case <-time.After(stopWithin):
 		log.Error("stopped with requests unanswered")
 	}
 	close(stop)
 	<-stopped
+	_ = ln.Close()
 	return nil
 }
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tulipglade/internal/protocol"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"rev":41,"all":true,"targets":[
+{"uid":"a","endpoint":"127.0.0.1:1","az":"z","state":"in_service","capacity_hint":1}]},
+"settings":{"discovery":"ask","zones":["z"],"orgs":[{"name":"t","share":1}],
+"profiles":[{"name":"read","aim_us":600000,"deadline_us":1500000,"effect":"repeatable"}],
+"limits":{"connect_timeout_us":250000,"keepalive_us":30000000,"max_attempts":6,"max_open":20000},"rules":{"grace_to_answer_us":20000}}}`
+
+func TestConfiguration(t *testing.T) {
+	none := func(string) string { return "" }
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{"n3", "127.0.0.1:0", 192, int64(41), 1, []string{"read"}, 20000, 1024, uint64(0x8c1f30d27a5be964), 6},
+		[]any{c.Name, c.Listen, c.MemoryMB, c.Known.Rev, len(c.Known.Targets), c.Node.Classes, c.Node.MaxOpen, c.Node.Sockets, c.Node.Seed,
+			c.Node.Module.MaxAttempts}); diff != "" {
+		t.Error(diff)
+	}
+	for _, bad := range []struct{ from, to, says string }{
+		{`"name"`, `name`, "configuration"},
+		{`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
+		{`"discovery":"127.0.0.1:8500",`, ``, "discovery"},
+		{`8c1f30d27a5be964`, `seed`, "seed"},
+		{`"sockets":1024`, `"sockets":5`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"cores":1`, `"cores":-1`, "limits.cores"},
+		{`"in_service"`, `"asleep"`, "known: targets[0].state"},
+		{`"effect":"repeatable"`, `"effect":"twice"`, "settings: profiles[0]"},
+		{`"name":"read",`, ``, "settings.profiles[0].name"},
+		{`{"name":"t","share":1}`, `{"name":"t"},{"name":"t"}`, "settings.orgs[1].name"},
+		{`"connect_timeout_us":250000,`, ``, "settings.limits.connect_timeout_us"},
+		{`"settings"`, `"other"`, "settings: missing"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, bad.from, bad.to, 1)), none)
+		if err == nil || !strings.Contains(err.Error(), bad.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that names %s", bad.to, err, bad.says)
+		}
+	}
+	env := func(name string) string { return map[string]string{"GW_DISCOVERY": "127.0.0.1:9"}[name] }
+	if c, err := Parse([]byte(strings.Replace(good, `"discovery":"127.0.0.1:8500",`, ``, 1)), env); err != nil || c.Discovery != "127.0.0.1:9" {
+		t.Errorf("from the environment: %v", err)
+	}
+}
+
+// heard collects what a watch tells.
+type heard chan string
+
+func (h heard) Members(l protocol.List, _ bool) { h <- fmt.Sprint("list ", l.Rev, l.All) }
+func (h heard) MembersFailed(error)             { h <- "failed" }
+
+func (h heard) want(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-h:
+		if got != want {
+			t.Fatalf("told %q, want %q", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("told nothing, want %q", want)
+	}
+}
+
+// The first call does not wait, so that it tells at once whether discovery is there; the next follow on it and
+// carry the version last heard. A failure ends the watch and is told once; Observe begins anew.
+func TestWatch(t *testing.T) {
+	calls := make(chan string, 10)
+	answers := make(chan string, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.RequestURI
+		select {
+		case a := <-answers:
+			if a == "" {
+				w.WriteHeader(503)
+			}
+			fmt.Fprint(w, a)
+		case <-r.Context().Done():
+		}
+	}))
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	to := make(heard, 10)
+	w := newWatch(srv.Listener.Addr().String(), 41)
+	w.to = to
+	w.Observe(true)
+	w.Observe(true) // already watching: no second call
+	answers <- `{"rev":41,"all":false,"targets":[]}`
+	to.want(t, "list 41 false")
+	answers <- `{"rev":43,"all":true,"targets":[]}`
+	to.want(t, "list 43 true")
+	answers <- ""
+	to.want(t, "failed")
+	w.Observe(true)
+	answers <- `{`
+	to.want(t, "failed")
+	w.Fetch()
+	answers <- `{"rev":50,"all":true,"targets":[]}`
+	to.want(t, "list 50 true")
+	var got []string
+	for range 5 {
+		got = append(got, <-calls)
+	}
+	if diff := cmp.Diff([]string{"/v1/endpoints?since=41&timeout_ms=0", "/v1/endpoints?since=41&timeout_ms=5000",
+		"/v1/endpoints?since=43&timeout_ms=5000", "/v1/endpoints?since=43&timeout_ms=0", "/v1/endpoints"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A discovery that is cut off takes the call and says nothing; its connection looks alive. Each call has a
+// time limit of its own, so that the module hears of it.
+func TestSilentDiscoveryIsNoticed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	to := make(heard, 1)
+	w := newWatch(ln.Addr().String(), 1)
+	w.to, w.slack = to, 50*time.Millisecond
+	w.Observe(true)
+	to.want(t, "failed")
+}
+
+// lines hands on what is logged.
+type lines chan string
+
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
+}
+
+// A whole run: from the configuration to a request answered, and out at the end of the context.
+func TestServe(t *testing.T) {
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }))
+	defer app.Close()
+	c, err := Parse([]byte(strings.Replace(good, "127.0.0.1:1\"", app.Listener.Addr().String()+"\"", 1)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out, ended := make(lines, 100), make(chan error, 1)
+	go func() { ended <- Serve(ctx, c, slog.New(slog.NewTextHandler(out, nil))) }()
+	addr := ""
+	for line := range out {
+		if _, after, ok := strings.Cut(line, "msg=serving"); ok {
+			_, addr, _ = strings.Cut(after, "listen=")
+			addr, _, _ = strings.Cut(addr, " ")
+			break
+		}
+	}
+	req, _ := http.NewRequest("GET", "http://"+addr+"/read", nil)
+	req.Header = http.Header{"X-Trace-Id": {"1"}, "X-Customer": {"t"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", addr); err == nil {
+		t.Error("still listening after the end")
+	}
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	c.Listen = busy.Addr().String()
+	if err := Serve(context.Background(), c, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "listen") {
+		t.Errorf("an address in use: %v", err)
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -11,12 +11,13 @@
 	"tulipglade/internal/protocol"
 )
 
-// How the watch asks. A call that may wait is noticed as lost when it has not ended callSlack after that wait.
+// How the watch asks. A call that may wait is given up when it has not ended some slack after that wait: a
+// discovery that is cut off says nothing, and its connections look alive.
 const (
 	watchWait  = 5 * time.Second
 	callSlack  = 2 * time.Second
 	dialWithin = time.Second
-	maxList    = 4 << 20
+	maxList    = 4 << 20 // bytes of an answer
 )
 
 // listener is who hears of the list of backends.
@@ -28,8 +29,9 @@
 // watch asks discovery for the list of backends, for changes of it, or both. Each Observe and each Fetch is
 // answered by exactly one list or failure at least.
 type watch struct {
-	addr string
-	to   listener
+	addr        string
+	to          listener
+	wait, slack time.Duration
 
 	mu      sync.Mutex
 	rev     int64
@@ -37,6 +39,10 @@
 	on      bool
 }
 
+func newWatch(addr string, rev int64) *watch {
+	return &watch{addr: addr, rev: rev, wait: watchWait, slack: callSlack}
+}
+
 // Observe begins to watch, or ends that once the call at hand has come back.
 func (w *watch) Observe(on bool) {
 	w.mu.Lock()
@@ -53,7 +59,7 @@
 	go func() {
 		c := &call{addr: w.addr}
 		defer c.close()
-		l, err := c.do(protocol.AppendListRequest(nil, w.addr), callSlack)
+		l, err := c.do(protocol.AppendListRequest(nil, w.addr), w.slack)
 		w.tell(l, err)
 	}()
 }
@@ -73,7 +79,7 @@
 		}
 		rev := w.rev
 		w.mu.Unlock()
-		l, err := c.do(protocol.AppendWatchRequest(nil, w.addr, rev, wait.Milliseconds()), wait+callSlack)
+		l, err := c.do(protocol.AppendWatchRequest(nil, w.addr, rev, wait.Milliseconds()), wait+w.slack)
 		if err != nil {
 			w.mu.Lock()
 			w.running, w.on = false, false // before the module hears of it, which may ask anew
@@ -83,7 +89,7 @@
 		if err != nil {
 			return
 		}
-		wait = watchWait
+		wait = w.wait
 	}
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -172,11 +172,12 @@
 	}
 	r, status, why := c.n.admit(&msg, buf, at)
 	if r == nil {
+		c.last = c.last || status == 405 // what answers a HEAD has no body: ours would be read as the next answer
 		c.reply(buf, status, nil, []byte(why+"\n"), 0)
 		return
 	}
 	r.client, c.req = c, r
-	c.n.begin(r, at)
+	c.n.begin(r)
 }
 
 // refuse answers what cannot be read, after which the connection closes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,7 @@
 	idleClients             list.List // of *client, oldest first
 	idleBackends            list.List // of *backend, oldest first
 	descriptors             int
-	listed                  bool
+	listed                  bool // at least one backend has been named
 	draining                bool
 	drained                 func()
 }
@@ -254,10 +254,10 @@
 			kind = tulipglade.ListCached
 		}
 		hosts := n.merge(l, kind != tulipglade.ListDelta)
-		if !n.listed || len(hosts) > 0 {
+		if cached || len(hosts) > 0 {
 			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
 		}
-		n.listed = true
+		n.listed = n.listed || len(hosts) > 0
 		n.bal.Members(n.now(), kind, hosts)
 	})
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,497 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/google/go-cmp/cmp"
+
+	"tulipglade"
+	"tulipglade/internal/protocol"
+)
+
+// silent is a discovery that nobody asks.
+type silent struct{}
+
+func (silent) Observe(bool) {}
+func (silent) Fetch()       {}
+
+// start runs a node on a port of its own that knows these backends.
+func start(t *testing.T, targets []protocol.Target, change func(*Settings)) (*Node, string) {
+	t.Helper()
+	second := int64(time.Second / time.Microsecond)
+	set := Settings{Classes: []string{"read", "once", "keyed"}, Tenants: []string{"t"}, Zones: []string{"z"},
+		ConnectTimeout: second, Keepalive: 30 * second, Grace: 20_000, Module: tulipglade.Config{Peers: 1, MaxAttempts: 3,
+			MayCancel: true, Tick: 1000, Tenants: []tulipglade.Tenant{{Share: 1}}, Classes: []tulipglade.Class{
+				{Aim: 10 * second, Deadline: 10 * second},
+				{Aim: 10 * second, Deadline: 10 * second, Effect: tulipglade.Once},
+				{Aim: 10 * second, Deadline: 10 * second, Effect: tulipglade.ByKey, Scope: tulipglade.ScopeCell, Window: 5 * second},
+			}}}
+	if change != nil {
+		change(&set)
+	}
+	n, err := New(set, silent{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := netpoll.CreateListener("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop, err := n.Serve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Members(protocol.List{All: true, Targets: targets}, true)
+	stop := make(chan struct{})
+	go n.Run(stop)
+	go func() { _ = loop.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = loop.Shutdown(context.Background())
+		close(stop)
+	})
+	return n, ln.Addr().String()
+}
+
+// app is a backend that behaves as a test says, and counts.
+type app struct {
+	*httptest.Server
+	seen  atomic.Int32
+	conns sync.Map // remote addresses
+}
+
+func newApp(t *testing.T, h http.HandlerFunc) *app {
+	a := &app{}
+	a.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.seen.Add(1)
+		a.conns.Store(r.RemoteAddr, true)
+		h(w, r)
+	}))
+	t.Cleanup(func() {
+		a.CloseClientConnections()
+		a.Close()
+	})
+	return a
+}
+
+func (a *app) connections() (n int) {
+	a.conns.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
+func target(uid string, a *app) protocol.Target {
+	return protocol.Target{UID: uid, Endpoint: a.Listener.Addr().String(), Zone: "z", Weight: 1}
+}
+
+func serve(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "body of "+r.URL.Path) }
+
+// reset ends the connection, after some bytes of an answer.
+func reset(answer string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, answer)
+		if answer == "" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+func status(code int, fields ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i+1 < len(fields); i += 2 {
+			w.Header().Set(fields[i], fields[i+1])
+		}
+		w.WriteHeader(code)
+	}
+}
+
+// hang answers nothing until the node gives up, and tells gone of that.
+func hang(gone chan<- struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		if gone != nil {
+			gone <- struct{}{}
+		}
+	}
+}
+
+// caller is a client's connection.
+type caller struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second)) // no test waits so long; a hang must not last
+	return &caller{t, conn, bufio.NewReader(conn)}
+}
+
+func text(class string, ms int) string {
+	body, key := "", ""
+	method := "GET"
+	if class != "read" {
+		method, body = "POST", "Content-Length: 2\r\n\r\nhi"
+	}
+	if class == "keyed" {
+		key = "Idempotency-Key: k1\r\n"
+	}
+	return fmt.Sprintf("%s /%s?obj=1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: id7\r\nX-Qos: %s\r\nX-Customer: t\r\nX-Expires-In-Ms: %d\r\n%s%s",
+		method, class, class, ms, key, map[bool]string{true: "\r\n", false: body}[body == ""])
+}
+
+// answer reads one answer.
+func (c *caller) answer() (code int, body string, closing bool) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return resp.StatusCode, string(b), resp.Close
+}
+
+func (c *caller) ask(request string) (int, string, bool) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, request); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.answer()
+}
+
+const ready = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Rules 1 and 2: exactly one answer whatever a backend does, and nothing that may have run goes out again
+// unless its class allows it. Only a 503 or 504 marked as never run, or a failed connect, proves that.
+func TestOneAnswerAndNoSecondRun(t *testing.T) {
+	never := []string{"X-Never-Ran", "1"}
+	for _, c := range []struct {
+		name, class string
+		ms          int
+		first       http.HandlerFunc // what the first request meets; later ones are served
+		code, sends int
+	}{
+		{"served", "once", 9000, serve, 200, 1},
+		{"error, may run again", "read", 9000, status(500), 200, 2},
+		{"error, must not run again", "once", 9000, status(500), 502, 1},
+		{"error, other cell", "keyed", 400, status(500), 502, 1},
+		{"turned away", "once", 9000, status(503, never...), 200, 2},
+		{"turned away late", "keyed", 9000, status(504, never...), 200, 2},
+		{"503 without the mark", "once", 9000, status(503), 502, 1},
+		{"503 with another mark", "once", 9000, status(503, "X-Never-Ran", "0"), 502, 1},
+		{"500 with the mark", "once", 9000, status(500, never...), 502, 1},
+		{"reset", "once", 9000, reset(""), 502, 1},
+		{"reset, may run again", "read", 9000, reset(""), 200, 2},
+		{"ends within the body", "once", 9000, reset("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"), 502, 1},
+		{"ends within a chunk", "once", 9000, reset("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody"), 502, 1},
+		{"not HTTP", "once", 9000, reset("what?\r\n\r\n"), 502, 1},
+		{"body until the end", "once", 9000, reset("HTTP/1.0 200 OK\r\n\r\nbody of /once"), 200, 1},
+		{"silent", "once", 150, hang(nil), 504, 1},
+		{"silent, refused", "read", 150, hang(nil), 503, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sends atomic.Int32
+			h := func(w http.ResponseWriter, r *http.Request) {
+				if sends.Add(1) == 1 {
+					_, _ = io.ReadAll(r.Body)
+					c.first(w, r)
+					return
+				}
+				serve(w, r)
+			}
+			a, b := target("a", newApp(t, h)), target("b", newApp(t, h))
+			b.Cell = 1
+			_, addr := start(t, []protocol.Target{a, b}, nil)
+			conn := dial(t, addr)
+			code, body, _ := conn.ask(text(c.class, c.ms))
+			if code != c.code || int(sends.Load()) != c.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", code, sends.Load(), c.code, c.sends)
+			}
+			if code == 200 && body != "body of /"+c.class {
+				t.Errorf("body %q", body)
+			}
+			if code, _, _ := conn.ask(ready); code != 200 { // a second answer would stand here instead
+				t.Errorf("next on the connection: %d", code)
+			}
+		})
+	}
+}
+
+// A host that refuses connections has never run anything: even what must not run twice goes elsewhere.
+func TestRefusedConnectIsTriedElsewhere(t *testing.T) {
+	dead := newApp(t, serve)
+	live := newApp(t, serve)
+	targets := []protocol.Target{target("dead", dead), target("live", live)}
+	dead.Close()
+	_, addr := start(t, targets, nil)
+	conn := dial(t, addr)
+	for range 20 {
+		if code, _, _ := conn.ask(text("once", 9000)); code != 200 {
+			t.Fatalf("status %d", code)
+		}
+	}
+	if live.seen.Load() != 20 || live.connections() != 1 {
+		t.Errorf("%d requests on %d connections, want 20 on one that is kept", live.seen.Load(), live.connections())
+	}
+}
+
+// What passes on unchanged, and what does not pass at all.
+func TestRequestReachesTheBackendUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got <- fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("X-Trace-Id"), " ", r.Header.Get("Idempotency-Key"), " ", string(b))
+		w.Header().Set(protocol.LoadHeader, "TEXT util=0.5")
+		serve(w, r)
+	})
+	_, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	if code, _, _ := dial(t, addr).ask(text("keyed", 9000)); code != 200 {
+		t.Fatal(code)
+	}
+	if diff := cmp.Diff("POST /keyed?obj=1 id7 k1 hi", <-got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Rule 3: from the moment the node is told, a draining or gone host gets nothing new.
+func TestDrainingHostGetsNothing(t *testing.T) {
+	a, b := newApp(t, serve), newApp(t, serve)
+	n, addr := start(t, []protocol.Target{target("a", a), target("b", b)}, nil)
+	conn := dial(t, addr)
+	for range 20 {
+		conn.ask(text("read", 9000))
+	}
+	if a.seen.Load() == 0 || b.seen.Load() == 0 {
+		t.Fatalf("%d and %d requests: one host is out of use", a.seen.Load(), b.seen.Load())
+	}
+	for _, state := range []protocol.State{protocol.Terminating, protocol.Terminated} {
+		gone := target("a", a)
+		gone.State = state
+		n.Members(protocol.List{Rev: 2, Targets: []protocol.Target{gone}}, false)
+		before := a.seen.Load()
+		for range 20 {
+			if code, _, _ := conn.ask(text("read", 9000)); code != 200 {
+				t.Fatal(code)
+			}
+		}
+		if a.seen.Load() != before {
+			t.Errorf("state %d: %d requests after the news", state, a.seen.Load()-before)
+		}
+	}
+}
+
+// Rule 4: the time of a host's start reaches the module, so a cold host is spared what a warm one gets.
+func TestColdHostIsSpared(t *testing.T) {
+	warm, cold := newApp(t, serve), newApp(t, serve)
+	c := target("cold", cold)
+	c.BootMs = time.Now().UnixMilli()
+	_, addr := start(t, []protocol.Target{target("warm", warm), c}, func(s *Settings) {
+		s.Module.ColdFrom, s.Module.ColdRamp, s.Module.ColdMultiple, s.Module.ColdWindow = 0.1, 60_000_000, 3, 3_000_000
+	})
+	conn := dial(t, addr)
+	for range 100 {
+		if code, _, _ := conn.ask(text("read", 9000)); code != 200 {
+			t.Fatal(code)
+		}
+	}
+	if cold.seen.Load() > 20 || warm.seen.Load()+cold.seen.Load() != 100 {
+		t.Errorf("cold host got %d, warm one %d of 100", cold.seen.Load(), warm.seen.Load())
+	}
+}
+
+// A host that has started anew is new to the pool: a connection to its earlier life would end as a reset.
+func TestRestartedHostGetsNewConnections(t *testing.T) {
+	a := newApp(t, serve)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	conn := dial(t, addr)
+	conn.ask(text("read", 9000))
+	anew := target("a", a)
+	anew.BootMs = 1000
+	n.Members(protocol.List{Rev: 2, Targets: []protocol.Target{anew}}, false)
+	conn.ask(text("read", 9000))
+	if got := a.connections(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+}
+
+// The node's own refusals: what cannot be read closes the connection, what is unknown does not reach a host.
+func TestOwnRefusals(t *testing.T) {
+	a := newApp(t, serve)
+	_, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	req := text("read", 9000)
+	for _, c := range []struct {
+		name, in string
+		code     int
+		closing  bool
+	}{
+		{"malformed", "GET\r\n\r\n", 400, true},
+		{"large head", "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", protocol.MaxHead+10), 431, true},
+		{"large body", "POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413, true},
+		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400, true},
+		{"other encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: br\r\n\r\n", 400, true},
+		{"method", strings.Replace(req, "GET", "HEAD", 1), 405, true},
+		{"unknown class", strings.Replace(req, "X-Qos: read", "X-Qos: x", 1), 400, false},
+		{"unknown tenant", strings.Replace(req, "X-Customer: t", "X-Customer: x", 1), 400, false},
+		{"no id", strings.Replace(req, "X-Trace-Id: id7\r\n", "", 1), 400, false},
+		{"bad deadline", strings.Replace(req, "9000", "soon", 1), 400, false},
+		{"no key", strings.Replace(text("keyed", 9000), "Idempotency-Key: k1\r\n", "", 1), 400, false},
+	} {
+		if code, _, closing := dial(t, addr).ask(c.in); code != c.code || closing != c.closing {
+			t.Errorf("%s: %d, closing %v, want %d, %v", c.name, code, closing, c.code, c.closing)
+		}
+	}
+	if a.seen.Load() != 0 {
+		t.Errorf("%d requests reached a host", a.seen.Load())
+	}
+}
+
+func TestOpenRequestsAreBounded(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		serve(w, r)
+	})
+	_, addr := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { s.MaxOpen = 1 })
+	first := dial(t, addr)
+	_, _ = io.WriteString(first, text("once", 9000))
+	<-arrived
+	if code, _, _ := dial(t, addr).ask(text("once", 9000)); code != 503 {
+		t.Errorf("second: %d", code)
+	}
+	close(release)
+	if code, _, _ := first.answer(); code != 200 {
+		t.Errorf("first: %d", code)
+	}
+}
+
+// A client that leaves takes its attempt with it: the host is told at once, by the end of its connection.
+func TestClientGone(t *testing.T) {
+	gone := make(chan struct{}, 1)
+	arrived := make(chan struct{}, 1)
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		hang(gone)(w, r)
+	})
+	_, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, text("read", 9000))
+	<-arrived
+	_ = conn.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the attempt went on")
+	}
+}
+
+// Requests written together are answered one by one and in order; so is one whose body waits for a word.
+func TestRequestsOnOneConnection(t *testing.T) {
+	a := newApp(t, serve)
+	_, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, text("once", 9000)+text("read", 9000)+ready)
+	for _, want := range []string{"body of /once", "body of /read", "ready\n"} {
+		if _, body, _ := conn.answer(); body != want {
+			t.Errorf("%q, want %q", body, want)
+		}
+	}
+	head, body, _ := strings.Cut(strings.Replace(text("once", 9000), "\r\n", "\r\nExpect: 100-continue\r\n", 1), "\r\n\r\n")
+	if code, _, _ := conn.ask(head + "\r\n\r\n"); code != 100 {
+		t.Errorf("before the body: %d", code)
+	}
+	if code, _, _ := conn.ask(body); code != 200 {
+		t.Errorf("after the body: %d", code)
+	}
+}
+
+// At the cap of descriptors the connection that stood idle longest goes, never one with a request on it.
+func TestDescriptorsAreCapped(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		serve(w, r)
+	})
+	_, addr := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { s.Sockets = reserve + 4 })
+	busy := dial(t, addr)
+	_, _ = io.WriteString(busy, text("once", 9000))
+	<-arrived
+	oldest := dial(t, addr)
+	oldest.ask(ready)
+	for range 6 {
+		if code, _, _ := dial(t, addr).ask(ready); code != 200 {
+			t.Error(code)
+		}
+	}
+	if _, err := oldest.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the oldest idle connection: %v", err)
+	}
+	close(release)
+	if code, _, _ := busy.answer(); code != 200 {
+		t.Errorf("the busy one: %d", code)
+	}
+}
+
+// At a stop: not ready any more, idle connections close, new ones are served, all that was taken is answered.
+func TestDrain(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		serve(w, r)
+	})
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	idle, busy := dial(t, addr), dial(t, addr)
+	if code, _, _ := idle.ask(ready); code != 200 {
+		t.Fatalf("ready: %d", code)
+	}
+	_, _ = io.WriteString(busy, text("once", 9000))
+	<-arrived
+	done := make(chan struct{})
+	n.Drain(0, func() { close(done) })
+	if _, err := idle.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: %v", err)
+	}
+	if code, _, closing := dial(t, addr).ask(ready); code != 503 || !closing {
+		t.Errorf("ready while draining: %d, closing %v", code, closing)
+	}
+	late := dial(t, addr)
+	_, _ = io.WriteString(late, text("once", 9000))
+	<-arrived
+	select {
+	case <-done:
+		t.Error("done with requests unanswered")
+	default:
+	}
+	close(release)
+	for _, c := range []*caller{busy, late} {
+		if code, _, closing := c.answer(); code != 200 || !closing {
+			t.Errorf("taken before the end: %d, closing %v", code, closing)
+		}
+	}
+	<-done
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -272,15 +272,11 @@
 	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
 		report = &tulipglade.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
 	}
-	switch {
-	case msg.Status == 200:
+	out := outcome(&msg)
+	if out == tulipglade.OK {
 		n.answer(a.req, in.retain(), 200, msg.Fields, msg.Body(in.bytes()), 0)
-		n.settle(a, tulipglade.OK, report)
-	case (msg.Status == 503 || msg.Status == 504) && string(msg.Get("x-never-ran")) == "1":
-		n.settle(a, tulipglade.Full, report)
-	default:
-		n.settle(a, tulipglade.HostError, report)
 	}
+	n.settle(a, out, report)
 	in.release()
 }
 
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"slices"
 	"strconv"
 
@@ -79,7 +78,7 @@
 }
 
 // begin hands a request to the module.
-func (n *Node) begin(r *request, at int64) {
+func (n *Node) begin(r *request) {
 	n.open++
 	n.requests[r.id] = r
 	n.at(r.deadline+n.set.Grace, func() {
@@ -89,7 +88,7 @@
 			n.bal.Gone(n.now(), r.id)
 		}
 	})
-	n.bal.Request(at, tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
+	n.bal.Request(n.now(), tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
 		Repeat: string(r.msg.Get("x-second-try")) == "1"})
 }
 
@@ -128,6 +127,20 @@
 	}
 }
 
+// outcome is what an answer says about the attempt it belongs to. Only a turned-away request, marked as such,
+// is known never to have run.
+func outcome(msg *protocol.Message) tulipglade.Outcome {
+	switch msg.Status {
+	case 200:
+		return tulipglade.OK
+	case 503, 504:
+		if string(msg.Get("x-never-ran")) == "1" {
+			return tulipglade.Full
+		}
+	}
+	return tulipglade.HostError
+}
+
 // settle gives an attempt its one outcome. The module hears of it after the call it may be in.
 func (n *Node) settle(a *attempt, outcome tulipglade.Outcome, report *tulipglade.Report) {
 	if a.over {
@@ -152,7 +165,8 @@
 func (n *Node) Try(id tulipglade.ReqID, hostID tulipglade.HostID, timeout tulipglade.Span) {
 	r := n.requests[id]
 	if r == nil || hostID == 0 || int(hostID) > len(n.hosts) {
-		panic(fmt.Sprintf("node: Try of request %d at host %d: unknown", id, hostID))
+		n.log.Error("attempt without a request or host", "id", id, "host", hostID)
+		return
 	}
 	now := n.now()
 	a := &attempt{req: r, number: len(r.attempts), host: n.hosts[hostID-1], sent: now}
--- /dev/null
+++ b/internal/protocol/discovery_test.go
@@ -0,0 +1,59 @@
+package protocol
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestLists(t *testing.T) {
+	const one = `{"uid":"s-1","endpoint":"127.0.0.1:3000","az":"a","model":"m2","pod_group":3,"state":"in_service","capacity_hint":1.5,"boot_ms":7}`
+	for _, c := range []struct {
+		name, in string
+		want     List
+		err      string
+	}{
+		{"whole", `{"rev":41,"all":true,"targets":[` + one + `]}`,
+			List{41, true, []Target{{"s-1", "127.0.0.1:3000", "a", 3, InService, 1.5, 7}}}, ""},
+		{"changes, none", `{"rev":42,"all":false,"targets":[],"new":{"x":1}}`, List{42, false, []Target{}}, ""},
+		{"states", `{"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"terminating"},{"uid":"b","state":"terminated"}]}`,
+			List{0, false, []Target{{UID: "a", Endpoint: "127.0.0.1:1", State: Terminating}, {UID: "b", State: Terminated}}}, ""},
+		{"not JSON", `{"rev":`, List{}, "list of backends"},
+		{"other type", `{"rev":"x"}`, List{}, "list of backends"},
+		{"unknown state", `{"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"idle"}]}`, List{}, `targets[0].state: unknown state "idle"`},
+		{"no uid", strings.Replace(`{"targets":[`+one+`]}`, "s-1", "", 1), List{}, "targets[0].uid"},
+		{"a name for an address", `{"targets":[{"uid":"a","endpoint":"app:1","state":"in_service"}]}`, List{}, "targets[0].endpoint"},
+	} {
+		got, err := ParseList([]byte(c.in))
+		if diff := cmp.Diff(c.want, got); diff != "" || (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s: %v, want %q\n%s", c.name, err, c.err, diff)
+		}
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	for in, want := range map[string]Load{
+		"TEXT inflight=7, queue=2, util=0.61":  {7, 2, 0.61},
+		"TEXT util=0.5":                        {-1, -1, 0.5},
+		"TEXT utilization=0.5,backlog=0, x=9":  {-1, 0, 0.5},
+		"TEXT util=NaN, queue=-1, inflight=+1": {1, -1, -1},
+		"TEXT util, =, ,queue=":                {-1, -1, -1},
+		`JSON {"util":0.5}`:                    {-1, -1, -1},
+		"":                                     {-1, -1, -1},
+	} {
+		got, ok := ParseLoad([]byte(in))
+		if diff := cmp.Diff(want, got); diff != "" || ok != (want != Load{-1, -1, -1}) {
+			t.Errorf("%q: %v\n%s", in, ok, diff)
+		}
+	}
+}
+
+func TestDiscoveryRequests(t *testing.T) {
+	got := string(AppendWatchRequest(nil, "127.0.0.1:8500", 41, 20000)) + string(AppendListRequest(nil, "d"))
+	want := "GET /v1/endpoints?since=41&timeout_ms=20000 HTTP/1.1\r\nHost: 127.0.0.1:8500\r\n\r\n" +
+		"GET /v1/endpoints HTTP/1.1\r\nHost: d\r\n\r\n"
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/protocol/http_test.go
@@ -0,0 +1,170 @@
+package protocol
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// parsed is what the tables compare.
+type parsed struct {
+	First, Body, Rest string
+	Fields            int
+	Keep              bool
+}
+
+// read feeds in to a message in pieces of some size, as a connection would.
+func read(in string, piece int, next func(*Message, []byte) (int, bool, error)) (parsed, bool, error) {
+	var m Message
+	var buf []byte
+	for len(in) > 0 {
+		k := min(piece, len(in))
+		buf = append(buf, in[:k]...)
+		in = in[k:]
+		n, whole, err := next(&m, buf)
+		if err != nil {
+			return parsed{}, false, err
+		}
+		if buf = buf[:n]; whole {
+			first := string(m.Method) + " " + string(m.Target)
+			if m.Status > 0 {
+				first = reason(m.Status)
+			}
+			return parsed{first, string(m.Body(buf)), string(m.Rest(buf)) + in, len(m.Fields), m.KeepAlive}, true, nil
+		}
+	}
+	return parsed{}, false, nil
+}
+
+type messageCase struct {
+	name, in string
+	want     parsed
+	whole    bool
+	err      error
+}
+
+func check(t *testing.T, cases []messageCase, next func(*Message, []byte) (int, bool, error)) {
+	for _, c := range cases {
+		for _, piece := range []int{1, 3, 1 << 20} { // where a message is cut must make no difference
+			got, whole, err := read(c.in, piece, next)
+			if diff := cmp.Diff(c.want, got); diff != "" || whole != c.whole || !errors.Is(err, c.err) {
+				t.Errorf("%s, %d bytes at a time: whole %v, %v, want %v, %v\n%s", c.name, piece, whole, err, c.whole, c.err, diff)
+			}
+		}
+	}
+}
+
+func TestRequests(t *testing.T) {
+	const post = "POST /a?b=c HTTP/1.1\r\nHost: x\r\n"
+	check(t, []messageCase{
+		{"no body", "GET /a?obj=1 HTTP/1.1\r\nHost: x\r\n\r\n", parsed{"GET /a?obj=1", "", "", 1, true}, true, nil},
+		{"empty lines before", "\r\n\r\nGET / HTTP/1.1\r\n\r\n", parsed{"GET /", "", "", 0, true}, true, nil},
+		{"body", post + "Content-Length: 3\r\n\r\nabc", parsed{"POST /a?b=c", "abc", "", 2, true}, true, nil},
+		{"the next behind it", post + "Content-Length: 1\r\n\r\naGET", parsed{"POST /a?b=c", "a", "GET", 2, true}, true, nil},
+		{"the same length twice", post + "Content-Length: 1\r\ncontent-length: 1\r\n\r\na", parsed{"POST /a?b=c", "a", "", 3, true}, true, nil},
+		{"chunks", post + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0A\r\n0123456789\r\n0\r\nT: 1\r\n\r\nrest",
+			parsed{"POST /a?b=c", "ab0123456789", "rest", 2, true}, true, nil},
+		{"close", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", parsed{"GET /", "", "", 1, false}, true, nil},
+		{"version 1.0", "GET / HTTP/1.0\r\n\r\n", parsed{"GET /", "", "", 0, false}, true, nil},
+		{"version 1.0 kept", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", parsed{"GET /", "", "", 1, true}, true, nil},
+		{"not all there", post + "Content-Length: 3\r\n\r\nab", parsed{}, false, nil},
+		{"no target", "GET HTTP/1.1\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"relative target", "GET a HTTP/1.1\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"other version", "GET / HTTP/2.0\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"bad method", "G@T / HTTP/1.1\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"space before colon", "GET / HTTP/1.1\r\nA : b\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"line feed in value", "GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"two lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", parsed{}, false, ErrMalformed},
+		{"length and chunks", post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"signed length", post + "Content-Length: +1\r\n\r\na", parsed{}, false, ErrMalformed},
+		{"negative length", post + "Content-Length: -1\r\n\r\na", parsed{}, false, ErrMalformed},
+		{"empty length", post + "Content-Length:\r\n\r\na", parsed{}, false, ErrMalformed},
+		{"other encoding", post + "Transfer-Encoding: gzip, chunked\r\n\r\n", parsed{}, false, ErrUnsupported},
+		{"other expectation", post + "Expect: tea\r\n\r\n", parsed{}, false, ErrUnsupported},
+		{"bad chunk size", post + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", parsed{}, false, ErrMalformed},
+		{"chunk longer than said", post + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", parsed{}, false, ErrMalformed},
+		{"large chunk", post + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", parsed{}, false, ErrBodyTooLarge},
+		{"endless chunk line", post + "Transfer-Encoding: chunked\r\n\r\n1;" + strings.Repeat("x", 300), parsed{}, false, ErrMalformed},
+		{"large body", post + "Content-Length: 65537\r\n\r\n", parsed{}, false, ErrBodyTooLarge},
+		{"large head", "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", MaxHead), parsed{}, false, ErrHeadTooLarge},
+		{"many fields", "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", maxFields+1) + "\r\n", parsed{}, false, ErrHeadTooLarge},
+	}, (*Message).Request)
+}
+
+func TestResponses(t *testing.T) {
+	check(t, []messageCase{
+		{"body", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", parsed{"OK", "ab", "", 1, true}, true, nil},
+		{"no reason", "HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", parsed{"Service Unavailable", "", "", 1, true}, true, nil},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", parsed{"OK", "a", "", 1, true}, true, nil},
+		{"continue before", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", parsed{"OK", "a", "", 1, true}, true, nil},
+		{"never a body", "HTTP/1.1 204 No Content\r\n\r\nrest", parsed{"Answer", "", "rest", 0, true}, true, nil},
+		{"until the end", "HTTP/1.1 200 OK\r\n\r\nab", parsed{}, false, nil},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", parsed{}, false, nil},
+		{"upgrade", "HTTP/1.1 101 Switching\r\n\r\n", parsed{}, false, ErrUnsupported},
+		{"bad status", "HTTP/1.1 2000 OK\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"not HTTP", "SSH-2.0-x\r\n\r\n", parsed{}, false, ErrMalformed},
+		{"endless", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", MaxBody+1), parsed{}, false, ErrBodyTooLarge},
+	}, (*Message).Response)
+}
+
+// A body without a length is whole at the connection's end, and only then; one with a length never is early.
+func TestEndOfConnection(t *testing.T) {
+	for in, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n\r\nab":                      true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab": false,
+		"HTTP/1.1 200 OK\r\nTransfer-Enc":                false,
+	} {
+		var m Message
+		buf := []byte(in)
+		if _, whole, err := m.Response(buf); whole || err != nil {
+			t.Errorf("%q: whole %v, %v before the end", in, whole, err)
+		}
+		if got := m.EOF(); got != want || got && string(m.Body(buf)) != "ab" {
+			t.Errorf("%q: whole at the end: %v, want %v", in, got, want)
+		}
+	}
+}
+
+func TestHeadsWritten(t *testing.T) {
+	var m Message
+	in := "POST /ride-start?obj=7 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: 9b1f\r\nConnection: close\r\nX-Expires-In-Ms: 900\r\n" +
+		"Idempotency-Key: 5c\r\nContent-Length: 2\r\n\r\nhi"
+	if _, whole, err := m.Request([]byte(in)); !whole || err != nil {
+		t.Fatal(whole, err)
+	}
+	for _, c := range []struct{ name, got, want string }{
+		{"request", string(AppendRequest(nil, &m.Head, 2, 480)), "POST /ride-start?obj=7 HTTP/1.1\r\nHost: app.svc\r\n" +
+			"X-Trace-Id: 9b1f\r\nIdempotency-Key: 5c\r\nX-Expires-In-Ms: 480\r\nContent-Length: 2\r\n\r\n"},
+		{"answer", string(AppendResponse(nil, 200, []Field{{[]byte("Content-Type"), []byte("a/b")}, {[]byte("Endpoint-Load-Metrics"), nil}},
+			3, true, 0)), "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 3\r\n\r\n"},
+		{"refusal", string(AppendResponse(nil, 503, nil, 0, false, 250000)),
+			"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		if diff := cmp.Diff(c.want, c.got); diff != "" {
+			t.Errorf("%s:\n%s", c.name, diff)
+		}
+	}
+}
+
+// Nothing that a party sends may crash a parser or make it hold more than it was given.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), 3)
+	f.Add([]byte("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"), 1)
+	f.Fuzz(func(t *testing.T, in []byte, piece int) {
+		for _, next := range []func(*Message, []byte) (int, bool, error){(*Message).Request, (*Message).Response} {
+			whole, cut := 0, 0
+			if got, ok, _ := read(string(in), len(in)+1, next); ok {
+				whole = len(got.Body) + 1
+			}
+			if got, ok, _ := read(string(in), max(1, piece%64), next); ok {
+				cut = len(got.Body) + 1
+			}
+			if whole != cut {
+				t.Fatalf("whole %d, in pieces %d", whole, cut)
+			}
+		}
+	})
+}
