--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -38,6 +39,14 @@
 
 // Parse is Load on the file's text.
 func Parse(raw []byte, getenv func(string) string) (*Config, error) {
+	c, err := parse(raw, getenv)
+	if err != nil { // a JSON error quotes the text around it, lines and all
+		return nil, errors.New(strings.Join(strings.Fields(err.Error()), " "))
+	}
+	return c, nil
+}
+
+func parse(raw []byte, getenv func(string) string) (*Config, error) {
 	var in struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,7 +24,7 @@
 const stopWithin = 15 * time.Second
 
 // limit keeps the process within its limits: one thread of Go code a core and one poller, and a collector that
-// works harder before memory runs out.
+// works harder before memory runs out. The system's own limit of descriptors holds where it is lower.
 func limit(c *Config) error {
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
@@ -32,6 +32,13 @@
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
 	}
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	if most := int(min(files.Cur, 1<<20)); c.Node.Sockets == 0 || c.Node.Sockets > most {
+		c.Node.Sockets = most
+	}
 	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr})
 }
 
@@ -41,7 +48,7 @@
 	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer release()
 	if err := limit(c); err != nil {
-		return fmt.Errorf("poller: %w", err)
+		return err
 	}
 	w := newWatch(c.Discovery, c.Known.Rev)
 	n, err := node.New(c.Node, w, log)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -36,6 +36,7 @@
 	}
 	for _, bad := range []struct{ from, to, says string }{
 		{`"name"`, `name`, "configuration"},
+		{`{"name"`, "module x\n\nrequire (\n", "configuration"},
 		{`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
 		{`"discovery":"127.0.0.1:8500",`, ``, "discovery"},
 		{`8c1f30d27a5be964`, `seed`, "seed"},
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -24,6 +24,7 @@
 	writing   bool     // an answer is on its way
 	last      bool     // the connection closes after this answer
 	continued bool
+	lingering bool // nothing more is read from it; it only waits for its refusal to be read
 	closed    bool
 	idle      *list.Element
 }
@@ -99,7 +100,7 @@
 // receive takes in what the client sent.
 func (c *client) receive(b *buffer, at int64) {
 	defer b.release()
-	if c.closed {
+	if c.closed || c.lingering {
 		return
 	}
 	if c.in == nil {
@@ -108,7 +109,7 @@
 		return
 	}
 	rest := b.bytes()
-	for len(rest) > 0 && !c.closed {
+	for len(rest) > 0 && !c.closed && !c.lingering {
 		if c.in == nil {
 			c.in = newBuffer()
 		}
@@ -180,10 +181,16 @@
 	c.n.begin(r)
 }
 
+// lingerFor is how long a connection stays after the refusal of what could not be read, in microseconds. To
+// close it while more of that comes in would reset it, and the client might never see the refusal.
+const lingerFor = 500_000
+
 // refuse answers what cannot be read, after which the connection closes.
 func (c *client) refuse(status int, why string) {
 	c.setIdle(false)
-	c.last = true
+	c.last, c.lingering = true, true
+	c.in.release()
+	c.in = nil
 	c.reply(nil, status, nil, []byte(why+"\n"), 0)
 }
 
@@ -205,6 +212,9 @@
 		head.release()
 		held.release()
 		switch {
+		case err == nil && c.lingering:
+			c.setIdle(true)
+			c.n.at(c.n.now()+lingerFor, c.close)
 		case err != nil || c.last:
 			c.close()
 		default:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// newHeldApp is an app that tells of each arrival and serves none before release is closed.
+func newHeldApp(t *testing.T) (a *app, arrived <-chan struct{}, release chan struct{}) {
+	in, release := make(chan struct{}), make(chan struct{})
+	return newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		in <- struct{}{}
+		<-release
+		serve(w, r)
+	}), in, release
+}
+
 // caller is a client's connection.
 type caller struct {
 	t *testing.T
@@ -368,13 +378,27 @@
 	}
 }
 
+// What still comes in after a refusal is dropped, and the client can read the refusal: to close at once would
+// reset the connection under it.
+func TestRefusalIsReadable(t *testing.T) {
+	_, addr := start(t, []protocol.Target{target("a", newApp(t, serve))}, nil)
+	conn := dial(t, addr)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, _ := conn.answer(); code != 413 {
+		t.Error(code)
+	}
+	if _, err := io.WriteString(conn, strings.Repeat("x", 99999)+ready); err != nil {
+		t.Error(err)
+	}
+	if b, err := conn.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the refusal: %q, %v", b, err)
+	}
+}
+
 func TestOpenRequestsAreBounded(t *testing.T) {
-	arrived, release := make(chan struct{}), make(chan struct{})
-	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
-		arrived <- struct{}{}
-		<-release
-		serve(w, r)
-	})
+	a, arrived, release := newHeldApp(t)
 	_, addr := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { s.MaxOpen = 1 })
 	first := dial(t, addr)
 	_, _ = io.WriteString(first, text("once", 9000))
@@ -430,12 +454,7 @@
 
 // At the cap of descriptors the connection that stood idle longest goes, never one with a request on it.
 func TestDescriptorsAreCapped(t *testing.T) {
-	arrived, release := make(chan struct{}), make(chan struct{})
-	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
-		arrived <- struct{}{}
-		<-release
-		serve(w, r)
-	})
+	a, arrived, release := newHeldApp(t)
 	_, addr := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { s.Sockets = reserve + 4 })
 	busy := dial(t, addr)
 	_, _ = io.WriteString(busy, text("once", 9000))
@@ -458,12 +477,7 @@
 
 // At a stop: not ready any more, idle connections close, new ones are served, all that was taken is answered.
 func TestDrain(t *testing.T) {
-	arrived, release := make(chan struct{}), make(chan struct{})
-	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
-		arrived <- struct{}{}
-		<-release
-		serve(w, r)
-	})
+	a, arrived, release := newHeldApp(t)
 	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
 	idle, busy := dial(t, addr), dial(t, addr)
 	if code, _, _ := idle.ask(ready); code != 200 {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -209,6 +209,8 @@
 		case err != nil: // not all of the request was written: it has never begun
 			n.closeBackend(b)
 			n.settle(a, tulipglade.ConnectFailed, nil)
+		case b.hungUp && b.msg.EOF():
+			b.finish(false)
 		case b.hungUp:
 			n.closeBackend(b)
 			n.settle(a, tulipglade.Reset, nil)
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -37,6 +37,9 @@
 // maxTargets bounds a list that discovery sends.
 const maxTargets = 1 << 14
 
+// maxBootMs bounds a time that discovery sends, so that it still counts in microseconds.
+const maxBootMs = 1 << 50
+
 // ParseList reads a list of discovery's, or says what is wrong with it.
 func ParseList(raw []byte) (List, error) {
 	var in struct {
@@ -72,7 +75,7 @@
 			return List{}, fmt.Errorf("targets[%d].endpoint: %w", i, err)
 		}
 		out.Targets = append(out.Targets, Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell,
-			State: state, Weight: t.Weight, BootMs: max(t.BootMs, 0)})
+			State: state, Weight: t.Weight, BootMs: min(max(t.BootMs, 0), maxBootMs)})
 	}
 	return out, nil
 }
