Never close a connection whose request has been read but not yet seen

By reading: an idle client connection was closed (at a stop, or at the cap of descriptors) when the poller held no input of it; a request already handed to the node's goroutine, but still in its queue, did not count and would have been lost. At fault: closeIdleClients and makeRoom. They ask client.unread now, which counts what is on its way. The new test fails with the former check.

Also: fields that a Connection header nominates are not passed on; a connection on which only empty lines came gives its buffer back.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/list"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -20,9 +21,10 @@
 	n         *Node
 	in        *buffer
 	msg       protocol.Message
-	req       *request // taken from it and not answered
-	writing   bool     // an answer is on its way
-	last      bool     // the connection closes after this answer
+	handed    atomic.Int32 // pieces of input on their way to receive
+	req       *request     // taken from it and not answered
+	writing   bool         // an answer is on its way
+	last      bool         // the connection closes after this answer
 	continued bool
 	lingering bool // nothing more is read from it; it only waits for its refusal to be read
 	closed    bool
@@ -40,6 +42,7 @@
 			if err != nil {
 				return err
 			}
+			c.handed.Add(1)
 			n.post(func() { c.receive(b, at) })
 			return nil
 		},
@@ -100,6 +103,7 @@
 // receive takes in what the client sent.
 func (c *client) receive(b *buffer, at int64) {
 	defer b.release()
+	c.handed.Add(-1)
 	if c.closed || c.lingering {
 		return
 	}
@@ -128,7 +132,11 @@
 		return
 	}
 	size, whole, err := c.msg.Request(c.in.bytes())
-	c.in.n = size
+	if c.in.n = size; size == 0 { // nothing but empty lines
+		c.in.release()
+		c.in = nil
+		return
+	}
 	switch {
 	case err != nil:
 		c.refuse(protocol.RefusalStatus(err), err.Error())
@@ -224,12 +232,26 @@
 	}, out, body)
 }
 
+// unread is how much has come in that Run's goroutine has not seen, in bytes or pieces. A connection with such
+// input may hold a whole request: it is not idle, and to close it would lose that.
+func (c *client) unread() int { return c.conn.Reader().Len() + int(c.handed.Load()) }
+
+// oldestIdleClient is the connection that has held no request for the longest time, or nil.
+func (n *Node) oldestIdleClient() *client {
+	for e := n.idleClients.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); c.unread() == 0 {
+			return c
+		}
+	}
+	return nil
+}
+
 // closeIdleClients closes the connections that hold nothing, not even a part of a request.
 func (n *Node) closeIdleClients() {
 	for e := n.idleClients.Front(); e != nil; {
 		c := e.Value.(*client)
 		e = e.Next()
-		if c.in == nil && c.clean() {
+		if c.in == nil && c.unread() == 0 {
 			c.close()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,13 +148,12 @@
 
 // settleLater delivers the results that Actions have queued, and those that these lead to.
 func (n *Node) settleLater() {
-	for len(n.later) > 0 {
-		f := n.later[0]
-		n.later[0] = nil
-		n.later = n.later[1:]
+	for i := 0; i < len(n.later); i++ {
+		f := n.later[i]
+		n.later[i] = nil
 		f()
 	}
-	n.later = n.later[:0:cap(n.later)]
+	n.later = n.later[:0]
 }
 
 // ---- timers ----
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -475,6 +476,31 @@
 	}
 }
 
+// A request that has been read but not yet seen by the node's goroutine is not lost when idle connections close:
+// whoever sent it would wait for an answer on a connection that the node ended.
+func TestUnseenRequestIsNotIdle(t *testing.T) {
+	n, addr := start(t, []protocol.Target{target("a", newApp(t, serve))}, nil)
+	conn := dial(t, addr)
+	conn.ask(ready)
+	busy := make(chan struct{})
+	n.post(func() {
+		close(busy)
+		for c := range n.clients {
+			for c.unread() == 0 {
+				runtime.Gosched()
+			}
+		}
+		n.closeIdleClients()
+		if n.oldestIdleClient() != nil {
+			t.Error("a connection with a request on it counts as idle")
+		}
+	})
+	<-busy
+	if code, _, _ := conn.ask(text("once", 9000)); code != 200 {
+		t.Error(code)
+	}
+}
+
 // At a stop: not ready any more, idle connections close, new ones are served, all that was taken is answered.
 func TestDrain(t *testing.T) {
 	a, arrived, release := newHeldApp(t)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -325,8 +325,8 @@
 	for n.set.Sockets > 0 && n.descriptors+more > n.set.Sockets-reserve {
 		if e := n.idleBackends.Front(); e != nil {
 			n.closeBackend(e.Value.(*backend))
-		} else if e := n.idleClients.Front(); e != nil {
-			e.Value.(*client).close()
+		} else if c := n.oldestIdleClient(); c != nil {
+			c.close()
 		} else {
 			return false
 		}
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -43,7 +43,7 @@
 	chunked bool
 }
 
-// Get returns the value of the first field with that name, in any case, or nil.
+// Get returns the value of the first field with that name, in any case, or nil. The name is in lower case.
 func (h *Head) Get(name string) []byte {
 	for _, f := range h.Fields {
 		if equalFold(f.Name, name) {
@@ -398,11 +398,7 @@
 		if c >= 'A' && c <= 'Z' {
 			c |= 0x20
 		}
-		l := lower[i]
-		if l >= 'A' && l <= 'Z' {
-			l |= 0x20
-		}
-		if c != l {
+		if c != lower[i] {
 			return false
 		}
 	}
@@ -417,6 +413,9 @@
 func appendFields(dst []byte, fields []Field, without ...string) []byte {
 next:
 	for _, f := range fields {
+		if nominated(fields, f.Name) {
+			continue
+		}
 		for _, names := range [][]string{hop, without} {
 			for _, name := range names {
 				if equalFold(f.Name, name) {
@@ -429,6 +428,21 @@
 	return dst
 }
 
+// nominated tells whether the sender has said that a field concerns this connection only.
+func nominated(fields []Field, name []byte) bool {
+	for _, f := range fields {
+		if !equalFold(f.Name, "connection") {
+			continue
+		}
+		for part := range bytes.SplitSeq(f.Value, []byte(",")) {
+			if bytes.EqualFold(bytes.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // AppendRequest appends the head under which a client's request goes on to a backend: method, target and
 // end-to-end fields unchanged, with the time that this node will wait.
 func AppendRequest(dst []byte, h *Head, body int, expiresMs int64) []byte {
--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -130,7 +130,7 @@
 
 func TestHeadsWritten(t *testing.T) {
 	var m Message
-	in := "POST /ride-start?obj=7 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: 9b1f\r\nConnection: close\r\nX-Expires-In-Ms: 900\r\n" +
+	in := "POST /ride-start?obj=7 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: 9b1f\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Expires-In-Ms: 900\r\n" +
 		"Idempotency-Key: 5c\r\nContent-Length: 2\r\n\r\nhi"
 	if _, whole, err := m.Request([]byte(in)); !whole || err != nil {
 		t.Fatal(whole, err)
