--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -287,6 +287,69 @@
 	}
 }
 
+// No second copy, nothing beyond the number of attempts and nothing without time goes out, whoever asks for it:
+// such a Try has its outcome at once and reaches no host.
+func TestTryBeyondTheLimits(t *testing.T) {
+	a, arrived, release := newHeldApp(t)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, text("once", 9000))
+	<-arrived
+	checked := make(chan struct{})
+	n.post(func() {
+		defer close(checked)
+		r := n.requests[n.lastID]
+		n.Try(r.id, 1, 0)
+		n.set.Module.MayDuplicate = true
+		n.Try(r.id, 1, -1)
+		n.Try(r.id, 1, 0) // the fourth of three
+		for _, a := range r.attempts[1:] {
+			if !a.over || a.backend != nil {
+				t.Errorf("attempt %d went out", a.number)
+			}
+		}
+		n.Try(r.id+1, 1, 0)
+		n.Try(r.id, 99, 0)
+		if len(r.attempts) != 4 || len(n.requests) != 1 {
+			t.Errorf("%d attempts of %d requests", len(r.attempts), len(n.requests))
+		}
+	})
+	<-checked
+	close(release)
+	if code, _, _ := conn.answer(); code != 200 || a.seen.Load() != 1 {
+		t.Errorf("status %d after %d sends", code, a.seen.Load())
+	}
+}
+
+// An attempt that waits for a new connection takes one that comes free before, and the new one is kept.
+func TestFreedConnectionServesWhoWaits(t *testing.T) {
+	a, arrived, release := newHeldApp(t)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	first, second := dial(t, addr), dial(t, addr)
+	_, _ = io.WriteString(first, text("once", 9000))
+	<-arrived
+	// A dial to nowhere, whose failure is put down to another that is still on its way: only the freed
+	// connection can serve.
+	n.post(func() { n.hosts[0].addr, n.hosts[0].dials = "127.0.0.1:1", 1 })
+	_, _ = io.WriteString(second, text("once", 9000))
+	for waiting := make(chan int, 1); ; {
+		n.post(func() { waiting <- len(n.hosts[0].waiting) })
+		if <-waiting == 1 {
+			break
+		}
+	}
+	close(release)
+	<-arrived
+	for _, c := range []*caller{first, second} {
+		if code, _, _ := c.answer(); code != 200 {
+			t.Error(code)
+		}
+	}
+	if a.connections() != 1 {
+		t.Errorf("%d connections", a.connections())
+	}
+}
+
 // Rule 3: from the moment the node is told, a draining or gone host gets nothing new.
 func TestDrainingHostGetsNothing(t *testing.T) {
 	a, b := newApp(t, serve), newApp(t, serve)
