Tell backends how long the attempt may take, not how long the client waits

By reading: send put the client's deadline into X-Expires-In-Ms, also for an attempt with a shorter time-out of its own; the two are the same for the present module, which sets none. An answer too large is now logged with its reason.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -193,7 +193,7 @@
 	b.msg = protocol.Message{}
 	head, held := newBuffer(), r.buf.retain()
 	body := r.msg.Body(r.buf.bytes())
-	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, len(body), max((r.deadline-n.now())/1000, 1))
+	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, len(body), max((a.till-n.now())/1000, 1))
 	n.write(&b.socket, func(err error) {
 		head.release()
 		held.release()
@@ -246,9 +246,11 @@
 func (b *backend) read(more int) {
 	n, a := b.n, b.att
 	size, whole, err := b.msg.Response(b.in.bytes())
-	b.in.n = size
+	if b.in.n = size; err == nil && !whole && size == protocol.BufferSize {
+		err = protocol.ErrBodyTooLarge
+	}
 	switch {
-	case err != nil || !whole && size == protocol.BufferSize:
+	case err != nil:
 		n.log.Warn("bad answer", "host", b.host.addr, "err", err)
 		n.closeBackend(b)
 		n.settle(a, tulipglade.Reset, nil) // it may have run
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -29,6 +29,7 @@
 	number  int
 	host    *host
 	sent    int64
+	till    int64    // how long the node waits for its answer
 	backend *backend // once it has a connection
 	over    bool     // it has its outcome
 }
@@ -172,9 +173,8 @@
 	a := &attempt{req: r, number: len(r.attempts), host: n.hosts[hostID-1], sent: now}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	till := r.deadline
-	if timeout != 0 {
-		till = min(till, now+timeout)
+	if a.till = r.deadline; timeout != 0 {
+		a.till = min(a.till, now+timeout)
 	}
 	switch {
 	case r.done || now >= r.deadline || len(r.attempts) > max(n.set.Module.MaxAttempts, 1):
@@ -183,11 +183,11 @@
 	case !n.set.Module.MayDuplicate && r.out > 1:
 		n.settle(a, tulipglade.Moot, nil)
 		return
-	case till <= now:
+	case a.till <= now:
 		n.settle(a, tulipglade.TimedOut, nil)
 		return
 	}
-	n.at(till, func() {
+	n.at(a.till, func() {
 		if !a.over {
 			n.giveUp(a, tulipglade.TimedOut)
 		}
