Keep two calls of the watch 0.1 s apart, so that a hasty discovery is not flooded

By reading: watch.follow called again at once, also when discovery answered at once with nothing new; a fault there would have had each node call in a tight loop. The new test has a discovery that does so.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -124,6 +124,26 @@
 	}
 }
 
+// A discovery that answers at once, whatever is asked, is not called in a tight loop.
+func TestHastyDiscoveryIsNotFlooded(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"rev":1,"all":false,"targets":[]}`)
+	}))
+	defer srv.Close()
+	to := make(heard, 100)
+	w := newWatch(srv.Listener.Addr().String(), 1)
+	w.to, w.pause = to, 20*time.Millisecond
+	began := time.Now()
+	w.Observe(true)
+	for range 5 {
+		to.want(t, "list 1 false")
+	}
+	w.Observe(false)
+	if took := time.Since(began); took < 4*w.pause {
+		t.Errorf("five calls in %v", took)
+	}
+}
+
 // A discovery that is cut off takes the call and says nothing; its connection looks alive. Each call has a
 // time limit of its own, so that the module hears of it.
 func TestSilentDiscoveryIsNoticed(t *testing.T) {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -16,6 +16,7 @@
 const (
 	watchWait  = 5 * time.Second
 	callSlack  = 2 * time.Second
+	callPause  = 100 * time.Millisecond // least time from one call to the next; a watch lapses after 200 ms
 	dialWithin = time.Second
 	maxList    = 4 << 20 // bytes of an answer
 )
@@ -32,6 +33,7 @@
 	addr        string
 	to          listener
 	wait, slack time.Duration
+	pause       time.Duration
 
 	mu      sync.Mutex
 	rev     int64
@@ -40,7 +42,7 @@
 }
 
 func newWatch(addr string, rev int64) *watch {
-	return &watch{addr: addr, rev: rev, wait: watchWait, slack: callSlack}
+	return &watch{addr: addr, rev: rev, wait: watchWait, slack: callSlack, pause: callPause}
 }
 
 // Observe begins to watch, or ends that once the call at hand has come back.
@@ -79,6 +81,7 @@
 		}
 		rev := w.rev
 		w.mu.Unlock()
+		began := time.Now()
 		l, err := c.do(protocol.AppendWatchRequest(nil, w.addr, rev, wait.Milliseconds()), wait+w.slack)
 		if err != nil {
 			w.mu.Lock()
@@ -90,6 +93,8 @@
 			return
 		}
 		wait = w.wait
+		// A discovery that answers at once, although nothing is new, must not be called in a tight loop.
+		time.Sleep(w.pause - time.Since(began))
 	}
 }
 
