Refuse requests that stall half sent with 408; test the stop with a real SIGTERM

Connections between two requests stay as they are. The test stalls in the head and in the body.

TestServe ended the node by its context, so nothing covered the signal itself; it sends SIGTERM now.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,7 +223,7 @@
 	return len(p), nil
 }
 
-// A whole run: from the configuration to a request answered, and out at the end of the context.
+// A whole run: from the configuration to a request answered, and out at SIGTERM.
 func TestServe(t *testing.T) {
 	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }))
 	defer app.Close()
@@ -230,10 +232,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	out, ended := make(lines, 100), make(chan error, 1)
-	go func() { ended <- Serve(ctx, c, slog.New(slog.NewTextHandler(out, nil))) }()
+	go func() { ended <- Serve(context.Background(), c, slog.New(slog.NewTextHandler(out, nil))) }()
 	addr := ""
 	for line := range out {
 		if _, after, ok := strings.Cut(line, "msg=serving"); ok {
@@ -248,7 +248,9 @@
 	if err != nil || resp.StatusCode != 200 {
 		t.Fatal(resp, err)
 	}
-	cancel()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -29,6 +29,7 @@
 	lingering bool // nothing more is read from it; it only waits for its refusal to be read
 	closed    bool
 	idle      *list.Element
+	since     int64 // when the request that is coming in began
 }
 
 // Serve returns the event loop that takes clients in.
@@ -108,14 +109,14 @@
 		return
 	}
 	if c.in == nil {
-		c.in = b.retain()
+		c.in, c.since = b.retain(), at
 		c.advance(at)
 		return
 	}
 	rest := b.bytes()
 	for len(rest) > 0 && !c.closed && !c.lingering {
 		if c.in == nil {
-			c.in = newBuffer()
+			c.in, c.since = newBuffer(), at
 		}
 		left := len(rest)
 		if rest = c.in.add(rest); len(rest) == left { // full, and the request before is not answered yet
@@ -163,7 +164,7 @@
 	buf := c.in
 	c.in = nil
 	if rest := c.msg.Rest(buf.bytes()); len(rest) > 0 {
-		c.in = newBuffer()
+		c.in, c.since = newBuffer(), at
 		c.in.add(rest)
 		buf.n -= len(rest)
 	}
@@ -234,6 +235,18 @@
 	}, out, body)
 }
 
+// refuseStalled refuses the requests that have begun and not come in whole within a time. Nobody waits for their
+// answer any more, and each holds a descriptor and a buffer.
+func (n *Node) refuseStalled(within int64) {
+	for e := n.idleClients.Front(); e != nil; {
+		c := e.Value.(*client)
+		e = e.Next()
+		if c.in != nil && !c.writing && !c.lingering && c.unread() == 0 && n.now()-c.since >= within {
+			c.refuse(408, "request not complete in time")
+		}
+	}
+}
+
 // unread is how much has come in that Run's goroutine has not seen, in bytes or pieces. A connection with such
 // input may hold a whole request: it is not idle, and to close it would lose that.
 func (c *client) unread() int { return c.conn.Reader().Len() + int(c.handed.Load()) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	timers   timerHeap
 	timerSeq uint64
 
+	patience                int64 // the longest time that a client waits for an answer
 	classes, tenants, zones map[string]int
 	requests                map[tulipglade.ReqID]*request
 	lastID                  tulipglade.ReqID
@@ -87,6 +88,9 @@
 		return nil, err
 	}
 	n.bal = bal
+	for _, c := range set.Module.Classes {
+		n.patience = max(n.patience, c.Deadline)
+	}
 	return n, nil
 }
 
@@ -203,7 +207,7 @@
 const sweepEvery = 500_000
 
 // sweep closes backend connections that stood idle for half the time after which the backend would: a
-// request written to one that is just being closed would end as a reset.
+// request written to one that is just being closed would end as a reset. It also ends requests that stall.
 func (n *Node) sweep() {
 	n.at(n.now()+sweepEvery, n.sweep)
 	for e := n.idleBackends.Front(); e != nil && n.set.Keepalive > 0; e = n.idleBackends.Front() {
@@ -213,6 +217,7 @@
 		}
 		n.closeBackend(b)
 	}
+	n.refuseStalled(n.patience)
 }
 
 // ---- start and stop ----
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -467,6 +467,35 @@
 	}
 }
 
+// Half a request does not hold a descriptor and a buffer for ever; a connection between two requests may stay.
+func TestStalledRequestIsRefused(t *testing.T) {
+	n, addr := start(t, []protocol.Target{target("a", newApp(t, serve))}, nil)
+	idle := dial(t, addr)
+	idle.ask(ready)
+	for _, half := range []string{"GET /read HTTP/1.1\r\nHost", strings.TrimSuffix(text("once", 9000), "i")} {
+		stalled := dial(t, addr)
+		if _, err := io.WriteString(stalled, half); err != nil {
+			t.Fatal(err)
+		}
+		until(n, func() bool {
+			n.refuseStalled(n.patience) // its time is not over
+			for c := range n.clients {
+				if c.in != nil && c.in.n == len(half) && !c.writing {
+					n.refuseStalled(0)
+					return true
+				}
+			}
+			return false
+		})
+		if code, _, closing := stalled.answer(); code != 408 || !closing {
+			t.Errorf("%.20q…: %d, closing %v", half, code, closing)
+		}
+	}
+	if code, _, _ := idle.ask(text("read", 9000)); code != 200 {
+		t.Errorf("the idle connection: %d", code)
+	}
+}
+
 func TestOpenRequestsAreBounded(t *testing.T) {
 	a, arrived, release := newHeldApp(t)
 	_, addr := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { s.MaxOpen = 1 })
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -479,6 +479,8 @@
 		return "Bad Request"
 	case 405:
 		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
 	case 413:
 		return "Content Too Large"
 	case 431:
