Take up a new configuration on SIGHUP: discovery's watch moves at once, all else lives on

Nothing in daemon.Serve took the signal, so its default ended the process; and watch.addr could not change, with do() blocked in a read of up to 7 s that nobody else could end.

Now Serve takes SIGHUP from before the listener opens, also while it drains. The file is read and checked whole; a bad one is one line. watch.Move gives up the call at hand (events from the poller instead of a blocking read, so that a close never races with the reader), asks the new address for the whole list, and does so too where the old one had failed. An empty whole list counts as a failed call.

--- a/cmd/tulipglade/main.go
+++ b/cmd/tulipglade/main.go
@@ -37,13 +37,14 @@
 }
 
 func serve(ctx context.Context, cmd *cli.Command) error {
-	c, err := daemon.Load(cmd.String("config"), os.Getenv)
+	load := func() (*daemon.Config, error) { return daemon.Load(cmd.String("config"), os.Getenv) }
+	c, err := load()
 	if err != nil {
 		return err
 	}
 	out := daemon.NewLogWriter(os.Stderr)
 	defer out.Flush(time.Second)
-	return daemon.Serve(ctx, c, slog.New(slog.NewTextHandler(out, nil)))
+	return daemon.Serve(ctx, c, load, slog.New(slog.NewTextHandler(out, nil)))
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -27,29 +28,41 @@
 	MembersFailed(err error)
 }
 
+// errMoved ends a call to a discovery that the node has just left.
+var errMoved = errors.New("discovery has moved")
+
 // watch asks discovery for the list of backends, for changes of it, or both. Each Observe and each Fetch is
-// answered by exactly one list or failure at least.
+// answered by exactly one list or failure at least. Move may come at any time.
 type watch struct {
-	addr        string
 	to          listener
 	wait, slack time.Duration
 	pause       time.Duration
 
 	mu      sync.Mutex
+	addr    string
+	moved   chan struct{} // closed, and replaced, as addr changes
 	rev     int64
+	whole   bool // the next call asks for the whole list: versions of another discovery may mean nothing here
 	running bool
 	on      bool
+	wanted  bool      // the last that Observe was told; on ends with a failure, this does not
 	began   time.Time // the last call of a watch
 }
 
 func newWatch(addr string, rev int64) *watch {
-	return &watch{addr: addr, rev: rev, wait: watchWait, slack: callSlack, pause: callPause}
+	return &watch{addr: addr, rev: rev, moved: make(chan struct{}),
+		wait: watchWait, slack: callSlack, pause: callPause}
 }
 
 // Observe begins to watch, or ends that once the call at hand has come back.
 func (w *watch) Observe(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.wanted = on
+	w.observe(on)
+}
+
+func (w *watch) observe(on bool) {
 	w.on = on
 	if on && !w.running {
 		w.running = true
@@ -57,22 +70,45 @@
 	}
 }
 
+// Move turns to discovery at another address. A call at hand is given up, and a watch goes on there at once, also
+// one that has failed: the module would ask again only after its pause, which grows with each failure.
+func (w *watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.whole = addr, true
+	close(w.moved)
+	w.moved = make(chan struct{})
+	if w.wanted {
+		w.observe(true)
+	}
+}
+
 // Fetch asks for the whole list once.
 func (w *watch) Fetch() {
 	go func() {
-		c := &call{addr: w.addr}
-		defer c.close()
-		l, err := c.do(protocol.AppendListRequest(nil, w.addr), w.slack)
-		w.tell(l, err)
+		for {
+			w.mu.Lock()
+			c := newCall(w.addr, w.moved)
+			w.mu.Unlock()
+			l, err := c.do(protocol.AppendListRequest(nil, c.addr), w.slack)
+			c.close()
+			if !errors.Is(err, errMoved) {
+				w.tell(c.addr, l, err)
+				return
+			}
+		}
 	}()
 }
 
 // follow makes one call after the other until one fails. The first asks for what has been missed and does not
 // wait, so that it answers at once whether discovery is there.
 func (w *watch) follow() {
-	c := &call{addr: w.addr}
-	defer c.close()
-	wait := time.Duration(0)
+	c := &call{}
+	defer func() { c.close() }()
+	var wait time.Duration
 	for {
 		w.mu.Lock()
 		if !w.on {
@@ -80,19 +116,37 @@
 			w.mu.Unlock()
 			return
 		}
-		rev := w.rev
+		if c.addr != w.addr {
+			c.close()
+			c, wait = newCall(w.addr, w.moved), 0
+		}
+		rev, whole := w.rev, w.whole
 		// A discovery that answers or fails at once must not be called in a tight loop, whoever asks for that.
 		pause := w.pause - time.Since(w.began)
 		w.began = time.Now().Add(max(pause, 0))
 		w.mu.Unlock()
 		time.Sleep(pause)
-		l, err := c.do(protocol.AppendWatchRequest(nil, w.addr, rev, wait.Milliseconds()), wait+w.slack)
+		request := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds())
+		if whole {
+			request, wait = protocol.AppendListRequest(nil, c.addr), 0
+		}
+		l, err := c.do(request, wait+w.slack)
+		if errors.Is(err, errMoved) {
+			continue
+		}
+		if err == nil && l.All && len(l.Targets) == 0 {
+			err = fmt.Errorf("discovery at %s: %w", c.addr, errNoBackends)
+		}
 		if err != nil {
 			w.mu.Lock()
+			if c.addr != w.addr { // it has moved in this moment
+				w.mu.Unlock()
+				continue
+			}
 			w.running, w.on = false, false // before the module hears of it, which may ask anew
 			w.mu.Unlock()
 		}
-		w.tell(l, err)
+		w.tell(c.addr, l, err)
 		if err != nil {
 			return
 		}
@@ -100,25 +154,41 @@
 	}
 }
 
-func (w *watch) tell(l protocol.List, err error) {
+// errNoBackends is a whole list with nothing on it. A discovery that has only just started may answer so; to
+// believe it would empty the fleet.
+var errNoBackends = errors.New("no backends on a whole list")
+
+// tell passes on what a call to discovery at addr has brought.
+func (w *watch) tell(addr string, l protocol.List, err error) {
 	if err != nil {
 		w.to.MembersFailed(err)
 		return
 	}
 	w.mu.Lock()
-	w.rev = l.Rev
+	if addr == w.addr { // news from the address left behind is news, but its versions do not count here
+		w.rev = l.Rev
+		w.whole = w.whole && !l.All
+	}
 	w.mu.Unlock()
 	w.to.Members(l, false)
 }
 
-// call is a connection to discovery, kept from one call to the next.
+// call is a connection to discovery, kept from one call to the next. One goroutine uses it; others end its call
+// by closing moved.
 type call struct {
-	addr string
-	conn netpoll.Connection
+	addr  string
+	moved <-chan struct{}
+	conn  netpoll.Connection
+	in    chan []byte   // what comes in, piece by piece
+	gone  chan struct{} // closed when the connection has ended and all that came in has been taken
+	done  chan struct{} // closed by close
 }
 
+func newCall(addr string, moved <-chan struct{}) *call { return &call{addr: addr, moved: moved} }
+
 func (c *call) close() {
 	if c.conn != nil {
+		close(c.done)
 		_ = c.conn.Close()
 		c.conn = nil
 	}
@@ -132,13 +202,13 @@
 			err = fmt.Errorf("discovery at %s: %w", c.addr, err)
 		}
 	}()
-	end := time.Now().Add(within)
+	end := time.NewTimer(within)
+	defer end.Stop()
 	if c.conn != nil && !c.conn.IsActive() { // closed between two calls
 		c.close()
 	}
 	if c.conn == nil {
-		if c.conn, err = netpoll.DialConnection("tcp", c.addr, min(within, dialWithin)); err != nil {
-			c.conn = nil
+		if err = c.dial(min(within, dialWithin)); err != nil {
 			return l, err
 		}
 	}
@@ -149,7 +219,7 @@
 	if err = c.conn.Writer().Flush(); err != nil {
 		return l, err
 	}
-	body, keep, err := c.answer(end)
+	body, keep, err := c.answer(end.C)
 	if err != nil {
 		return l, err
 	}
@@ -159,32 +229,66 @@
 	return protocol.ParseList(body)
 }
 
+// dial opens the connection. One that comes up after discovery has moved is closed.
+func (c *call) dial(within time.Duration) error {
+	type dialled struct {
+		conn netpoll.Connection
+		err  error
+	}
+	up := make(chan dialled)
+	go func() {
+		conn, err := netpoll.DialConnection("tcp", c.addr, within)
+		select {
+		case up <- dialled{conn, err}:
+		case <-c.moved:
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+	}()
+	select {
+	case <-c.moved:
+		return errMoved
+	case d := <-up:
+		if d.err != nil {
+			return d.err
+		}
+		in, gone, done := make(chan []byte), make(chan struct{}), make(chan struct{})
+		c.conn, c.in, c.gone, c.done = d.conn, in, gone, done
+		// The poller ends a connection only when this handler is not at work, so nothing is lost at its end.
+		_ = c.conn.AddCloseCallback(func(netpoll.Connection) error { close(gone); return nil })
+		return c.conn.SetOnRequest(func(_ context.Context, conn netpoll.Connection) error {
+			r := conn.Reader()
+			p, err := r.ReadBinary(r.Len())
+			if err != nil {
+				return err
+			}
+			_ = r.Release()
+			select {
+			case in <- p:
+			case <-done:
+			}
+			return nil
+		})
+	}
+}
+
 // answer reads a response of status 200 whole.
-func (c *call) answer(end time.Time) (body []byte, keep bool, err error) {
-	var m protocol.Message
-	m.MaxBody = maxList
+func (c *call) answer(end <-chan time.Time) (body []byte, keep bool, err error) {
+	m := protocol.Message{MaxBody: maxList}
 	var buf []byte
-	r := c.conn.Reader()
 	for {
-		left := time.Until(end)
-		if left <= 0 {
+		select {
+		case <-c.moved:
+			return nil, false, errMoved
+		case <-end:
 			return nil, false, errors.New("no answer in time")
-		}
-		_ = c.conn.SetReadTimeout(left)
-		_, err := r.Peek(1) // waits
-		ended := err != nil && !c.conn.IsActive()
-		if err != nil && !ended {
-			return nil, false, err
-		}
-		if k := r.Len(); k > 0 {
-			p, err := r.Next(k)
-			if err != nil {
-				return nil, false, err
+		case <-c.gone:
+			if !m.EOF() {
+				return nil, false, errors.New("connection ended within an answer")
 			}
+		case p := <-c.in:
 			buf = append(buf, p...)
-			_ = r.Release()
-		} else if ended && !m.EOF() {
-			return nil, false, err
 		}
 		n, whole, err := m.Response(buf)
 		if err != nil {
