--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -131,7 +131,7 @@
 // list. A list with nothing on it, as of a discovery that has only just started, does not empty the fleet. A watch
 // that has failed is taken up by a move too: the module would ask only after its pause.
 func TestMove(t *testing.T) {
-	held, calls := make(chan string), make(chan string, 10)
+	held, calls := make(chan string, 10), make(chan string, 10)
 	old := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		held <- r.RequestURI
 		<-r.Context().Done() // until the call is given up
