Judge hosts by the share of their answers that are errors; keep once-only work off them

Cause: learn() took HostError for a sign of health: it set fails to 0, so a host that fails 30 to 100% of its requests at once was hardly ever judged out, looked least used to best(), and drew traffic; its times of 1 ms went into the class's latency, from which the target for every other host follows, so their limits fell too and requests were refused.

Now errors and broken answers count by their share of late answers (0.45: out, for twice as long each time until it has done well), teach neither latency nor limit, and what must run once goes to hosts without late errors while there are any.

Both new tests fail on the code before.

--- a/balancer.go
+++ b/balancer.go
@@ -3,7 +3,10 @@
 // Every decision of tulipglade is in this file; its interface (types, events, actions) is in api.go.
 // The mechanism follows Katsalis et al.; docs/design.md says what was kept and where it departs.
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // What neither settings nor traffic tell. None has a unit of time or work: those derive from the aims.
 const (
@@ -28,6 +31,9 @@
 	coldBurst   = 0.25 // of the cold window may be spent at once
 	silentMeans = 1.5  // mean latencies without an answer after which a host gets nothing new
 	ejectAfter  = 3    // failures in a row that judge a host out
+	badGain     = 0.2  // weight of one answer in the share of a host's answers that were errors
+	badOut      = 0.45 // of them judge it out: about three in a row, but not the odd one
+	badSuspect  = 0.1  // and with more than this, one in a few, it gets nothing that could not be repeated
 	ejectMost   = 5    // doublings of the time out
 )
 
@@ -213,10 +219,11 @@
 		from = b.hosts
 	}
 	fit := b.anyFit()
+	sure := b.cfg.Classes[r.class].Effect == Once && slices.ContainsFunc(from, b.trusted)
 	weights := b.weights[:len(from)]
 	for i, h := range from {
 		weights[i] = 0
-		if fit && !b.fit(h) || !b.allowed(r, h) {
+		if fit && !b.fit(h) || sure && !b.trusted(h) || !b.allowed(r, h) {
 			continue
 		} else if lent {
 			weights[i] = max(b.room(h), 0)
@@ -491,6 +498,10 @@
 	return h.Phase == PhaseReady && b.now >= h.outTill && (h.out.n == 0 || b.now-h.answered < b.silence)
 }
 
+// trusted tells whether a host is fit and has lately answered without errors. What must run once goes there alone:
+// an error costs it for good, while others find out, as the first after a time out, whether the host is well again.
+func (b *Balancer) trusted(h *host) bool { return b.fit(h) && h.bad < badSuspect }
+
 // coldRoom keeps a cold host from being pushed over: a token bucket at a part of the stated multiple of what
 // it can do, measured by what a warm host answers to this gateway. So all together keep the budget.
 func (b *Balancer) coldRoom(h *host) bool {
@@ -510,24 +521,31 @@
 	took := float64(s.Took)
 	target := c.base * math.Pow(float64(b.cfg.Classes[class].Aim)/c.base, targetPart) / b.warmth(h)
 	switch s.Outcome {
-	case OK, HostError:
+	case HostError, Reset: // how soon it came says nothing of work done, so neither latency nor limit learns of it
+		h.answered = b.now
+		if h.bad += badGain * (1 - h.bad); h.bad > badOut {
+			b.eject(h)
+		}
+		return
+	case OK:
 		h.fails, h.answered = 0, b.now
+		if h.bad -= badGain * h.bad; h.bad < badSuspect {
+			h.outs = 0
+		}
 		c.sum += took
 		c.n++
 		c.mean += latencyGain * (took - c.mean)
 		b.answers += math.Floor(b.warmth(h))
 	case Full:
 		h.answered, took = b.now, 3*target // turned away: as late as can be
-	case ConnectFailed, Reset, TimedOut, Cancelled:
+	case ConnectFailed, TimedOut, Cancelled:
 		cut := s.Outcome == Cancelled || s.Outcome == TimedOut
 		if cut && took < target { // cut short before it was late, it proves nothing
 			return
 		}
 		c.mean += latencyGain * (max(took, c.mean) - c.mean)
-		if h.fails++; !cut && h.fails >= ejectAfter && b.now >= h.outTill { // lateness is load
-			away := float64(b.period) * math.Exp2(float64(min(h.fails-ejectAfter, ejectMost)))
-			h.outTill = b.now + Span(away*(0.75+b.random()/2))
-			b.log("host %x: out after %d failures", uint64(h.ID), h.fails)
+		if h.fails++; !cut && h.fails >= ejectAfter { // lateness is load
+			b.eject(h)
 		}
 		took = 3 * target // it would have taken longer still
 	default:
@@ -544,6 +562,17 @@
 	}
 }
 
+// eject leaves a host alone, for twice as long each time until it has done well.
+func (b *Balancer) eject(h *host) {
+	if b.now < h.outTill {
+		return
+	}
+	away := float64(b.period) * math.Exp2(float64(min(h.outs, ejectMost)))
+	h.outTill = b.now + Span(away*(0.75+b.random()/2))
+	h.outs++
+	b.log("host %x: out after %d failures, errors %.2f", uint64(h.ID), h.fails, h.bad)
+}
+
 // move changes a host's limit by one answer, or by a part of one that came from another host.
 func (b *Balancer) move(h *host, excess, part float64) {
 	if excess > 0 {
@@ -578,7 +607,7 @@
 	b.regroup()
 	for _, h := range fresh {
 		// Taken to be like the others. Its first token comes at a chance time: hundreds hear of it together.
-		h.limit, h.fails, h.outTill = b.typical, 0, 0
+		h.limit, h.fails, h.outTill, h.bad, h.outs = b.typical, 0, 0, 0, 0
 		h.tokens, h.tokensAt, h.answered = b.random(), b.now, b.now
 		h.rank = mix(b.born ^ mix(uint64(h.ID)))
 		if h.Zone == b.cfg.Zone && b.cfg.CrossZone > 0 { // hosts near come earlier where crossing costs
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -762,6 +762,73 @@
 	}
 }
 
+func TestErrorsJudgeAHostOut(t *testing.T) {
+	// Guards: an error counted as an answer. A host that fails at once, and not every time, never failed three times
+	// in a row, looked fast and idle, and drew requests to it; its short times made all others look congested.
+	g := start(t, settings(), hosts(4)...)
+	h, c := g.b.hosts[0], g.b.classes[0]
+	limit, bad := h.limit, Settlement{Outcome: HostError, Took: 1}
+	for range 4 {
+		g.b.learn(h, 0, bad)
+		g.b.learn(h, 0, bad)
+		h.fails = 0 // as an answer in time would, which moves the limit besides
+		h.bad -= badGain * h.bad
+	}
+	if g.b.fit(h) {
+		t.Error("still used, with two of three answers errors")
+	}
+	if h.limit != limit || g.b.classes[0] != c {
+		t.Errorf("errors taught a limit (%g, was %g) or latencies", h.limit, limit)
+	}
+	first := h.outTill - g.now
+	g.run(2 * first)
+	if g.b.learn(h, 0, Settlement{Outcome: Reset}); h.outTill-g.now < first {
+		t.Error("back with an error, it is left alone no longer than the first time")
+	}
+	odd := g.b.hosts[1]
+	for i := range 200 {
+		out := OK
+		if i%20 == 0 {
+			out = HostError
+		}
+		if g.b.learn(odd, 0, Settlement{Outcome: out, Took: ms}); !g.b.fit(odd) {
+			t.Fatal("judged out by an odd error")
+		}
+	}
+}
+
+func TestOnceKeepsAwayFromSuspects(t *testing.T) {
+	// Guards: requests that must run once found out that a host fails, and each error lost one for good.
+	g := start(t, settings(), hosts(3)...)
+	suspect := g.b.hosts[0]
+	g.b.learn(suspect, 0, Settlement{Outcome: HostError})
+	for id := ReqID(1); id < 200; id += 2 {
+		g.request(id, 1, 0)
+		g.request(id+1, 0, 0)
+		g.settle(id, 0, OK)
+		g.settle(id+1, 0, OK)
+		if g.tries[id][0] == suspect.ID && suspect.bad >= badSuspect {
+			t.Fatal("a request that must run once went to a host that had just failed")
+		}
+		suspect.bad = max(suspect.bad, 2*badSuspect)
+	}
+	sent := 0
+	for id, tries := range g.tries {
+		if tries[0] == suspect.ID && id%2 == 0 {
+			sent++
+		}
+	}
+	if sent == 0 {
+		t.Error("nothing finds out whether the host is well again")
+	}
+	for _, h := range g.b.hosts {
+		h.bad = 2 * badSuspect
+	}
+	if g.request(1000, 1, 0); len(g.tries[1000]) != 1 {
+		t.Error("with every host suspect nothing is tried any more")
+	}
+}
+
 func TestLoadedHostIsNotJudgedOut(t *testing.T) {
 	// Guards: late attempts at hosts that answered others all the while judged them out, and the rest jammed.
 	g := start(t, settings(), hosts(4)...)
--- a/state.go
+++ b/state.go
@@ -19,6 +19,8 @@
 	limit    float64
 	rank     uint64 // its place in this gateway's own order
 	fails    int
+	bad      float64 // share of its answers that were errors, of late
+	outs     int     // times judged out since it last did well
 	outTill  Time
 	answered Time    // last sign of life while attempts were out
 	tokens   float64 // cold budget left, in attempts
