Forget hosts that are gone, revive none from an old list; know spoilt answers at once

Hosts gone for a minute are dropped now (forgetHosts), and each period lets one more line through. Connections that were busy as their host drained stayed open for 15 s.

Each new test fails with its part of the change taken out.

--- a/balancer.go
+++ b/balancer.go
@@ -46,6 +46,7 @@
 	switch kind := t % wakeKinds; {
 	case kind == wakeControl:
 		b.act.WakeAt(wakeControl, Span(float64(b.period)*(0.9+b.random()/5))) // gateways fall out of step
+		b.logged = max(b.logged-1, 0)
 		b.control()
 		b.release()
 	case kind == wakeAsk:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -889,6 +889,30 @@
 
 // ---- logs, settings, sameness ----
 
+func TestLongDayLeavesNothing(t *testing.T) {
+	// Guards: a long day replaces every host many times over. What the module keeps is what is there now, and its log
+	// does not fall silent for good.
+	g := start(t, settings(), hosts(4)...)
+	id := ReqID(0)
+	for i := range 300 {
+		gone, fresh := Host{ID: g.b.hosts[0].ID}, Host{ID: HostID(1000 + i), Phase: PhaseReady, Weight: 1}
+		g.b.Members(g.now, ListDelta, []Host{gone, fresh})
+		for range 8 {
+			id++
+			g.request(id, int(id%3), 0)
+			g.settle(id, 0, OK)
+		}
+		g.b.log("line")
+		g.run(g.b.period)
+	}
+	if len(g.b.hosts) != 4 || len(g.b.byID) != 4 || len(g.b.reqs) != 0 || len(g.b.group) > 4 {
+		t.Errorf("%d hosts, %d by id, %d in use, %d requests", len(g.b.hosts), len(g.b.byID), len(g.b.group), len(g.b.reqs))
+	}
+	if g.lines < 250 {
+		t.Errorf("%d of 300 lines", g.lines)
+	}
+}
+
 func TestLogIsBounded(t *testing.T) {
 	g := start(t, settings(), hosts(2)...)
 	for range 500 {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -284,9 +284,7 @@
 		case <-end:
 			return nil, false, errors.New("no answer in time")
 		case <-c.gone:
-			if !m.EOF() {
-				return nil, false, errors.New("connection ended within an answer")
-			}
+			return nil, false, errors.New("connection ended within an answer")
 		case p := <-c.in:
 			buf = append(buf, p...)
 		}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -112,7 +112,7 @@
 	c.n.clients[c] = struct{}{}
 	c.n.descriptors++
 	if !c.n.makeRoom(0) { // beyond the cap, with nothing idle to close
-		c.n.log.Warn("connection refused", "descriptors", c.n.descriptors)
+		c.n.warn("connection refused", "descriptors", c.n.descriptors)
 		c.close()
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,8 +67,11 @@
 	lastID                  tulipglade.ReqID
 	open                    int // requests taken and not answered
 	writing                 int // answers on their way out
-	hosts                   []*host
+	hosts                   map[tulipglade.HostID]*host
 	byUID                   map[string]*host
+	lastHost                tulipglade.HostID
+	rev                     int64          // the latest version of the list of backends
+	warned                  map[string]int // lines by text since the last sweep
 	clients                 map[*client]struct{}
 	fresh                   list.List // of *client: connections that have never asked, oldest first
 	idleClients             list.List // of *client: the others that hold no request, oldest first
@@ -85,6 +88,7 @@
 	n := &Node{set: set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
 		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
 		zones: index(set.Zones), requests: map[tulipglade.ReqID]*request{}, byUID: map[string]*host{},
+		hosts: map[tulipglade.HostID]*host{}, warned: map[string]int{},
 		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
 	bal, err := tulipglade.New(set.Module, set.Seed, n)
 	if err != nil {
@@ -218,6 +222,23 @@
 		n.closeBackend(b)
 	}
 	n.sweepClients()
+	n.forgetHosts()
+	for msg, k := range n.warned {
+		if k > warnMost {
+			n.log.Warn("lines left out", "of", msg, "lines", k-warnMost)
+		}
+	}
+	clear(n.warned)
+}
+
+// warnMost is how many lines of one text are logged between two sweeps.
+const warnMost = 5
+
+// warn logs what a peer can cause as often as it likes.
+func (n *Node) warn(msg string, args ...any) {
+	if n.warned[msg]++; n.warned[msg] <= warnMost {
+		n.log.Warn(msg, args...)
+	}
 }
 
 // ---- start and stop ----
@@ -259,7 +280,7 @@
 		if cached {
 			kind = tulipglade.ListCached
 		}
-		hosts := n.merge(l, kind != tulipglade.ListDelta)
+		hosts, kind := n.merge(l, kind)
 		if cached || len(hosts) > 0 {
 			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
 		}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -11,12 +11,14 @@
 	"tulipglade/internal/protocol"
 )
 
-// host is one backend that discovery has named. It keeps its id for the process's life.
+// host is one backend that discovery has named. Its id is never used again.
 type host struct {
 	id      tulipglade.HostID
 	addr    string
+	state   protocol.State
 	boot    int64
-	life    int // counts its processes: a connection to an earlier one is never used again
+	goneAt  int64 // when discovery said so, or left it off a whole list; 0: it is listed
+	life    int   // counts its processes: a connection to an earlier one is never used again
 	idle    []*backend
 	waiting []*attempt // for a connection
 	dials   int        // connections on their way
@@ -40,29 +42,42 @@
 	idleSince int64
 }
 
-// merge takes a list into the pool and turns it into the module's form.
-func (n *Node) merge(l protocol.List, whole bool) []tulipglade.Host {
+// merge takes a list into the pool and turns it into the module's form. A list that is older than the last one, as
+// that of a discovery which has just taken over may be, adds hosts and tells of drains, but brings nothing back that
+// is known to have gone on since, and what it leaves off is not gone.
+func (n *Node) merge(l protocol.List, kind tulipglade.ListKind) ([]tulipglade.Host, tulipglade.ListKind) {
+	old := l.Rev < n.rev
+	n.rev = max(n.rev, l.Rev)
+	if old {
+		kind = tulipglade.ListDelta
+	}
 	out := make([]tulipglade.Host, 0, len(l.Targets))
 	listed := make(map[*host]bool, len(l.Targets))
 	for _, t := range l.Targets {
 		h := n.byUID[t.UID]
-		if h == nil {
-			h = &host{id: tulipglade.HostID(len(n.hosts) + 1), addr: t.Endpoint, boot: t.BootMs}
-			n.hosts = append(n.hosts, h)
-			n.byUID[t.UID] = h
+		switch {
+		case h == nil && t.State == protocol.Terminated:
+			continue
+		case h == nil:
+			n.lastHost++
+			h = &host{id: n.lastHost, addr: t.Endpoint, boot: t.BootMs}
+			n.hosts[h.id], n.byUID[t.UID] = h, h
+		case old && (t.BootMs < h.boot || t.BootMs == h.boot && t.State < h.state):
+			continue
 		}
 		listed[h] = true
-		if t.State == protocol.Terminated || h.addr != t.Endpoint || h.boot != t.BootMs {
+		h.state, h.goneAt = t.State, 0
+		switch {
+		case t.State == protocol.Terminated:
+			n.hostGone(h)
+		case h.addr != t.Endpoint || h.boot != t.BootMs: // another process
 			h.life++
 			n.closeIdleBackends(h)
-			if t.Endpoint != "" {
-				h.addr = t.Endpoint
-			}
-			h.boot = t.BootMs
-		}
-		if t.State == protocol.Terminating { // it gets nothing new
+			h.addr = t.Endpoint
+		case t.State == protocol.Terminating: // it gets nothing new
 			n.closeIdleBackends(h)
 		}
+		h.boot = t.BootMs
 		zone, ok := n.zones[t.Zone]
 		if !ok {
 			zone = -1
@@ -73,11 +88,33 @@
 			Started: t.BootMs * 1000})
 	}
 	for _, h := range n.hosts {
-		if whole && !listed[h] {
-			n.closeIdleBackends(h)
+		if kind != tulipglade.ListDelta && !listed[h] && h.goneAt == 0 {
+			h.state = protocol.Terminated
+			n.hostGone(h)
+		}
+	}
+	return out, kind
+}
+
+// hostKept is for how long a host that is gone is remembered, in microseconds: longer than any attempt at it may
+// take, and than an old list may come late.
+const hostKept = 60_000_000
+
+// hostGone notes that a host is gone. Connections to it that still carry an attempt close after that.
+func (n *Node) hostGone(h *host) {
+	h.goneAt = n.now()
+	h.life++
+	n.closeIdleBackends(h)
+}
+
+// forgetHosts drops the hosts that have been gone for long: every release brings new ones.
+func (n *Node) forgetHosts() {
+	for uid, h := range n.byUID {
+		if h.goneAt > 0 && n.now()-h.goneAt >= hostKept {
+			delete(n.byUID, uid)
+			delete(n.hosts, h.id)
 		}
 	}
-	return out
 }
 
 // connect gives an attempt a connection: the idle one used last, or a new one.
@@ -93,7 +130,7 @@
 		n.closeBackend(b) // closed, or with input that no request asked for
 	}
 	if !n.makeRoom(1) {
-		n.log.Warn("no descriptor for a connection", "descriptors", n.descriptors)
+		n.warn("no descriptor for a connection", "descriptors", n.descriptors)
 		n.settle(a, tulipglade.ConnectFailed, nil)
 		return
 	}
@@ -157,7 +194,7 @@
 	h := b.host
 	switch {
 	case b.closed:
-	case b.life != h.life || !b.clean():
+	case b.life != h.life || !b.clean() || h.state == protocol.Terminating && len(h.waiting) == 0:
 		n.closeBackend(b)
 		if len(h.waiting) > h.dials {
 			n.dial(h)
@@ -212,8 +249,6 @@
 		case err != nil: // not all of the request was written: it has never begun
 			n.closeBackend(b)
 			n.settle(a, tulipglade.ConnectFailed, nil)
-		case b.hungUp && b.msg.EOF():
-			b.finish(false)
 		case b.hungUp:
 			n.closeBackend(b)
 			n.settle(a, tulipglade.Reset, nil)
@@ -254,7 +289,7 @@
 	}
 	switch {
 	case err != nil:
-		n.log.Warn("bad answer", "host", b.host.addr, "err", err)
+		n.warn("bad answer", "host", b.host.addr, "err", err)
 		n.closeBackend(b)
 		n.settle(a, tulipglade.Reset, nil) // it may have run
 	case whole:
@@ -296,9 +331,6 @@
 		n.closeBackend(b)
 	case !b.written:
 		b.hungUp = true // whether all was written decides what this means
-	case b.msg.EOF():
-		b.hungUp = true
-		b.finish(false)
 	default:
 		n.closeBackend(b)
 		n.settle(a, tulipglade.Reset, nil)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -181,12 +181,13 @@
 // Try sends a request to a host.
 func (n *Node) Try(id tulipglade.ReqID, hostID tulipglade.HostID, timeout tulipglade.Span) {
 	r := n.requests[id]
-	if r == nil || hostID == 0 || int(hostID) > len(n.hosts) {
+	h := n.hosts[hostID]
+	if r == nil || h == nil {
 		n.log.Error("attempt without a request or host", "id", id, "host", hostID)
 		return
 	}
 	now := n.now()
-	a := &attempt{req: r, number: len(r.attempts), host: n.hosts[hostID-1], sent: now}
+	a := &attempt{req: r, number: len(r.attempts), host: h, sent: now}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if a.till = r.deadline; timeout != 0 {
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -78,7 +78,6 @@
 	inChunk
 	inChunkEnd
 	inTrailer
-	untilClose
 	complete
 )
 
@@ -87,7 +86,10 @@
 	Head
 	MaxBody int // 0: the bound of that name
 	phase   phase
-	scanned int // of the head, without an end in it
+	begun   bool // the first line has been read
+	line    int  // where the next line of the head begins
+	scanned int  // of that line, without an end in it
+	interim int  // informational responses skipped
 	headLen int
 	end     int // of the body so far
 	left    int // bytes of the body, or of this chunk, still to come
@@ -107,7 +109,7 @@
 // out of buf in place and returns how long buf is then, and whether the message is whole.
 func (m *Message) Request(buf []byte) (int, bool, error) {
 	if m.phase == inHead {
-		for m.scanned == 0 && bytes.HasPrefix(buf, []byte("\r\n")) { // empty lines before a request are skipped
+		for !m.begun && bytes.HasPrefix(buf, []byte("\r\n")) { // empty lines before a request are skipped
 			buf = buf[:copy(buf, buf[2:])]
 		}
 		found, err := m.head(buf, m.requestLine)
@@ -124,7 +126,11 @@
 	return m.body(buf)
 }
 
-// Response is Request's counterpart. Informational responses are skipped.
+// maxInterim bounds the informational responses before a response.
+const maxInterim = 8
+
+// Response is Request's counterpart. Informational responses are skipped. A response must say how long it is: of one
+// that goes on until the connection ends, nobody can tell the end from a break.
 func (m *Message) Response(buf []byte) (int, bool, error) {
 	for m.phase == inHead {
 		found, err := m.head(buf, m.statusLine)
@@ -135,8 +141,11 @@
 		case m.Status == 101:
 			return len(buf), false, fmt.Errorf("%w: status 101", ErrUnsupported)
 		case m.Status < 200:
+			if m.interim == maxInterim {
+				return len(buf), false, fmt.Errorf("%w: too many informational responses", ErrMalformed)
+			}
 			buf = buf[:copy(buf, buf[m.headLen:])]
-			*m = Message{MaxBody: m.MaxBody}
+			*m = Message{MaxBody: m.MaxBody, interim: m.interim + 1}
 		case m.Status == 204 || m.Status == 304:
 			m.phase, m.left = inBody, 0
 		case m.chunked:
@@ -144,20 +153,12 @@
 		case m.length >= 0:
 			m.phase, m.left = inBody, m.length
 		default:
-			m.phase, m.KeepAlive = untilClose, false
+			return len(buf), false, fmt.Errorf("%w: no length", ErrUnsupported)
 		}
 	}
 	return m.body(buf)
 }
 
-// EOF tells a response that the connection has ended, and returns whether that makes it whole.
-func (m *Message) EOF() bool {
-	if m.phase == untilClose {
-		m.phase = complete
-	}
-	return m.phase == complete
-}
-
 func (m *Message) maxBody() int {
 	if m.MaxBody > 0 {
 		return m.MaxBody
@@ -184,12 +185,6 @@
 				continue
 			}
 			m.phase = inChunkEnd
-		case untilClose:
-			m.end = len(buf)
-			if m.end-m.headLen > m.maxBody() {
-				return len(buf), false, ErrBodyTooLarge
-			}
-			return len(buf), false, nil
 		case complete:
 			n := copy(buf[m.end:], buf[r:])
 			return m.end + n, true, nil
@@ -266,48 +261,55 @@
 	return 0, false
 }
 
-// head parses the head once all of it is there.
+// head parses the head line by line, as far as it is there, so that what cannot be one is known at once: whoever
+// sent it may never send more, or never end.
 func (m *Message) head(buf []byte, first func([]byte) error) (bool, error) {
-	i := bytes.Index(buf[m.scanned:], []byte("\r\n\r\n"))
-	if i < 0 {
-		m.scanned = max(0, len(buf)-3)
-		if len(buf) > MaxHead {
+	for {
+		i := bytes.Index(buf[m.scanned:], []byte("\r\n"))
+		if i < 0 {
+			m.scanned = max(m.line, len(buf)-1) // a CR at the end may be half of the line's end
+			if len(buf) > MaxHead {
+				return false, ErrHeadTooLarge
+			}
+			return false, m.unfinished(buf[m.line:])
+		}
+		end := m.scanned + i
+		if end > MaxHead {
 			return false, ErrHeadTooLarge
 		}
-		return false, nil
-	}
-	end := m.scanned + i
-	if end > MaxHead {
-		return false, ErrHeadTooLarge
-	}
-	m.headLen = end + 4
-	m.end = m.headLen
-	lines := buf[:end]
-	line, lines := cutLine(lines)
-	if err := first(line); err != nil {
-		return false, err
-	}
-	m.Fields, m.length, m.KeepAlive = m.Fields[:0], -1, m.minor > 0
-	for len(lines) > 0 {
-		line, lines = cutLine(lines)
-		if err := m.field(line); err != nil {
-			return false, err
+		line := buf[m.line:end]
+		m.line, m.scanned = end+2, end+2
+		switch {
+		case !m.begun:
+			if err := first(line); err != nil {
+				return false, err
+			}
+			m.begun, m.length, m.KeepAlive = true, -1, m.minor > 0
+		case len(line) > 0:
+			if err := m.field(line); err != nil {
+				return false, err
+			}
+		case m.chunked && (m.length >= 0 || m.minor == 0):
+			return false, fmt.Errorf("%w: conflicting lengths", ErrMalformed)
+		case m.length > m.maxBody():
+			return false, ErrBodyTooLarge
+		default:
+			m.headLen, m.end = m.line, m.line
+			return true, nil
 		}
 	}
-	if m.chunked && (m.length >= 0 || m.minor == 0) {
-		return false, fmt.Errorf("%w: conflicting lengths", ErrMalformed)
-	}
-	if m.length > m.maxBody() {
-		return false, ErrBodyTooLarge
-	}
-	return true, nil
 }
 
-func cutLine(b []byte) (line, rest []byte) {
-	if i := bytes.Index(b, []byte("\r\n")); i >= 0 {
-		return b[:i], b[i+2:]
+// unfinished tells whether a line that has no end yet may become one: no control characters, but for a CR that the
+// other half of the end may follow.
+func (m *Message) unfinished(line []byte) error {
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	for _, c := range line {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return fmt.Errorf("%w: control character in the head", ErrMalformed)
+		}
 	}
-	return b, nil
+	return nil
 }
 
 func (m *Message) requestLine(line []byte) error {
--- a/state.go
+++ b/state.go
@@ -427,7 +427,7 @@
 	return z ^ z>>31
 }
 
-// logLines bounds what an instance writes.
+// logLines bounds what an instance writes at once; each period lets one more through.
 const logLines = 100
 
 func (b *Balancer) log(format string, args ...any) {
