Keep host limits at 4.5 of all nodes together at least; idle fleets refused a fifth

Checked: no descriptor or CPU is short; shares of tenants are alike, so it is not over-share; held requests run out of time for want of slots. Cause: learn() lowers a limit by every answer past its target, and times of single requests vary by chance, so limits settle where they are just in use. limitLeast, 0.05, let them fall below one request a host; when half of the hosts drain or are cold, the rest has no room. Kept: 0.75 of 6, that is 4.5 of all nodes together.

--- a/balancer.go
+++ b/balancer.go
@@ -15,7 +15,7 @@
 	overEnter   = 0.92 // mean reported utilization at which overload begins
 	overLeave   = 0.80 // and below which it may end
 	reportFresh = 3    // control periods after which an unchanged report tells nothing
-	limitLeast  = 0.05 // below 1 a gateway uses a host now and then: many gateways may share it
+	limitLeast  = 4.5  // of all gateways together: that few do not congest a host, whatever latencies say
 	limitGain   = 0.10 // change of a host's limit for one answer a whole target early or late
 	limitFirst  = 6    // of all gateways together for a host of which nothing is known
 	targetPart  = 0.25 // of the way, in ratio, from uncongested latency to the aim
@@ -577,7 +577,7 @@
 // move changes a host's limit by one answer, or by a part of one that came from another host.
 func (b *Balancer) move(h *host, excess, part float64) {
 	if excess > 0 {
-		h.limit = max(limitLeast*min(1, b.first), h.limit-part*limitGain*excess*h.limit/2)
+		h.limit = max(limitLeast/b.sharers, h.limit-part*limitGain*excess*h.limit/2)
 	} else if n, one := b.used(h); n+one >= inUse*h.limit && (part == 1 || b.out.mean+1 >= inUse*b.capacity) {
 		h.limit -= part * limitGain * min(1, b.first) * excess // many gateways raise it together
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -829,6 +829,24 @@
 	}
 }
 
+func TestLateAnswersLeaveAHostItsLeast(t *testing.T) {
+	// Guards: work that takes long by chance drew limits below one request a host, and with half of the hosts draining
+	// or cold a fifth of all requests was refused while no host had anything waiting.
+	cfg := settings()
+	cfg.Peers = 3
+	g := start(t, cfg, hosts(4)...)
+	for range 500 {
+		for _, h := range g.b.hosts {
+			g.b.learn(h, 0, Settlement{Outcome: OK, Took: 500 * ms})
+		}
+	}
+	for _, h := range g.b.hosts {
+		if sum := h.limit * 3; sum < limitLeast-0.01 || sum > limitLeast+0.01 {
+			t.Errorf("limits of all gateways together: %g, want %g", sum, limitLeast)
+		}
+	}
+}
+
 func TestLoadedHostIsNotJudgedOut(t *testing.T) {
 	// Guards: late attempts at hosts that answered others all the while judged them out, and the rest jammed.
 	g := start(t, settings(), hosts(4)...)
