Learn after how long idle connections break, and use none that was idle for longer

So not chance: the hosts drop idle connections sooner than told and without a word, and connect() trusted the told time alone.

learnIdle counts, by idle time in half octaves, what breaks at once on a used connection; where that is over 35% of three attempts or more, nothing idle for so long is used for 30 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,8 @@
 	fresh                   list.List // of *client: connections that have never asked, oldest first
 	idleClients             list.List // of *client: the others that hold no request, oldest first
 	idleBackends            list.List // of *backend, oldest first
+	idleRecords             [64]idleRecord
+	idleMost, idleMostTill  int64 // what learnIdle found, and for how long it holds
 	descriptors             int
 	listed                  bool // at least one backend has been named
 	draining                bool
@@ -211,12 +213,12 @@
 const sweepEvery = 500_000
 
 // sweep looks after the connections that carry nothing. It closes backend connections that stood idle for half the time after which the backend would: a
-// request written to one that is just being closed would end as a reset.
+// request written to one that is just being closed would end as a reset. Where they break sooner, they close sooner.
 func (n *Node) sweep() {
 	n.at(n.now()+sweepEvery, n.sweep)
-	for e := n.idleBackends.Front(); e != nil && n.set.Keepalive > 0; e = n.idleBackends.Front() {
+	for e := n.idleBackends.Front(); e != nil; e = n.idleBackends.Front() {
 		b := e.Value.(*backend)
-		if n.now()-b.idleSince < n.set.Keepalive/2 {
+		if n.now()-b.idleSince < n.idleLimit() {
 			break
 		}
 		n.closeBackend(b)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -569,6 +569,40 @@
 	})
 }
 
+// Hosts that drop idle connections sooner than told cost one request each, until the node has seen how long is too
+// long; what breaks now and then, however short it was idle, teaches nothing.
+func TestShorterIdleTimeIsLearned(t *testing.T) {
+	a := newApp(t, serve)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	conn := dial(t, addr)
+	conn.ask(text("once", 9000))
+	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
+	on(n, func() {
+		for i := range 200 {
+			n.learnIdle(50_000, i%10 == 9)
+			n.learnIdle(2*restFor, i%10 == 9)
+		}
+		if n.idleLimit() != n.set.Keepalive/2 {
+			t.Errorf("limit %d after an odd break", n.idleLimit())
+		}
+		for range idleSeen {
+			n.learnIdle(150_000, true)
+		}
+		if got := n.idleLimit(); got > 150_000 || got < 100_000 {
+			t.Errorf("limit %d, after breaks at 150000", got)
+		}
+		n.hosts[1].idle[0].idleSince -= 200_000
+	})
+	if code, _, _ := conn.ask(text("once", 9000)); code != 200 || a.connections() != 2 {
+		t.Errorf("%d on %d connections, want a new one", code, a.connections())
+	}
+	on(n, func() {
+		if n.idleMostTill -= idleTrust; n.idleLimit() != n.set.Keepalive/2 {
+			t.Error("never tried again")
+		}
+	})
+}
+
 // A host that has started anew is new to the pool: a connection to its earlier life would end as a reset.
 func TestRestartedHostGetsNewConnections(t *testing.T) {
 	a := newApp(t, serve)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"math"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -40,6 +41,7 @@
 	closed    bool
 	idle      *list.Element
 	idleSince int64
+	idleFor   int64 // before the attempt it carries; 0: it is new
 }
 
 // merge takes a list into the pool and turns it into the module's form. A list that is older than the last one, as
@@ -121,6 +123,49 @@
 // connection says so behind its last answer: a request that crosses this ends as one that may have run.
 const restFor = 10_000
 
+// Hosts, or what is between, may drop idle connections sooner than told, and without a word: the next request is
+// reset, and counts as one that may have run. So the node learns after how long connections break at once.
+const (
+	idleMemory = 0.95       // of the earlier attempts on connections idle for about as long, with each new one
+	idleSeen   = 3          // attempts at least
+	idleBroken = 0.35       // share of them that broke, far more than break for other reasons
+	idleTrust  = 30_000_000 // for so long nothing that was idle for longer is used, in microseconds
+)
+
+// idleRecord is how attempts on connections fared that had been idle for about as long.
+type idleRecord struct{ seen, broken float64 }
+
+// learnIdle takes in how an attempt on a connection that had been idle has ended. Only what broke at once, with no
+// byte of an answer, broke for that: a host that dies takes all attempts with it, whatever they were sent on.
+func (n *Node) learnIdle(idle int64, broke bool) {
+	if idle <= restFor {
+		return
+	}
+	k := int(2 * math.Log2(float64(idle))) // two steps to a doubling
+	r := &n.idleRecords[min(k, len(n.idleRecords)-1)]
+	r.seen, r.broken = idleMemory*r.seen+1, idleMemory*r.broken
+	if broke {
+		r.broken++
+	}
+	if r.seen >= idleSeen-0.2 && r.broken > idleBroken*r.seen {
+		*r = idleRecord{}
+		n.idleMost, n.idleMostTill = int64(math.Exp2(float64(k)/2)), n.now()+idleTrust
+		n.log.Info("idle connections break", "after_us", n.idleMost)
+	}
+}
+
+// idleLimit is how long a connection to a backend may have been idle and still be used.
+func (n *Node) idleLimit() int64 {
+	limit := int64(math.MaxInt64)
+	if n.set.Keepalive > 0 {
+		limit = n.set.Keepalive / 2
+	}
+	if n.now() < n.idleMostTill {
+		limit = min(limit, n.idleMost)
+	}
+	return limit
+}
+
 // rested is the idle connection to a host that was used last, but for those that may be about to close: of these, it
 // is the one that has waited longest.
 func (n *Node) rested(h *host) *backend {
@@ -137,12 +182,13 @@
 	h := a.host
 	for len(h.idle) > 0 {
 		b := n.rested(h)
-		if b.clean() {
+		if idle := n.now() - b.idleSince; idle < n.idleLimit() && b.clean() {
+			b.idleFor = idle
 			n.setIdle(b, false)
 			n.send(b, a)
 			return
 		}
-		n.closeBackend(b) // closed, or with input that no request asked for
+		n.closeBackend(b) // idle for too long, closed, or with input that no request asked for
 	}
 	if !n.makeRoom(1) {
 		n.warn("no descriptor for a connection", "descriptors", n.descriptors)
@@ -265,6 +311,7 @@
 			n.closeBackend(b)
 			n.settle(a, tulipglade.ConnectFailed, nil)
 		case b.hungUp:
+			n.learnIdle(b.idleFor, b.in == nil && n.now()-a.sent < 2*restFor)
 			n.closeBackend(b)
 			n.settle(a, tulipglade.Reset, nil)
 		default:
@@ -315,6 +362,8 @@
 // finish is a whole answer.
 func (b *backend) finish(unread bool) {
 	n, a, in, msg := b.n, b.att, b.in, b.msg
+	n.learnIdle(b.idleFor, false)
+	b.idleFor = 0
 	keep := msg.KeepAlive && !b.hungUp && !unread && len(msg.Rest(in.bytes())) == 0
 	b.att, b.in = nil, nil
 	switch {
@@ -347,6 +396,7 @@
 	case !b.written:
 		b.hungUp = true // whether all was written decides what this means
 	default:
+		n.learnIdle(b.idleFor, b.in == nil && n.now()-a.sent < 2*restFor)
 		n.closeBackend(b)
 		n.settle(a, tulipglade.Reset, nil)
 	}
