Keep idle client connections to a sixth of the descriptors, so that new clients get in

There were 124 idle connections and 1 to 5 open requests at any moment, that is, just the third of the 384 descriptors that clients hold at most: they ask once and stay, and sweepClients closed none before 2 s. Ruled out: CPU (0.16 s a second), the accept queue (no line of the network library), the module's mode.

Now connections between two requests take a sixth of the descriptors; beyond that the one idle longest closes (setIdle), after a look at the system's own buffer for a request that has just come. A test for requests not yet seen failed once beside this: handed was counted after the bytes had left the reader, so a connection could look empty in between and lose its request.

TestIdleConnectionsAreFew fails without.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -80,11 +80,12 @@
 		func(ctx context.Context, conn netpoll.Connection) error {
 			c := ctx.Value(key{}).(*client)
 			at := n.now()
+			c.handed.Add(1) // before the bytes leave the reader: whoever looks in between must not find it empty
 			b, err := take(conn)
 			if err != nil {
+				c.handed.Add(-1)
 				return err
 			}
-			c.handed.Add(1)
 			n.post(func() { c.receive(b, at) })
 			return nil
 		},
@@ -134,9 +135,18 @@
 			c.idleIn = &c.n.idleClients
 		}
 		c.idle, c.idleSince = c.idleIn.PushBack(c), c.n.now()
+		if most := c.n.set.Sockets / idleShare; c.asked && most > 0 && c.idleIn.Len() > most {
+			if oldest := c.n.idleClient(c.idleIn, 0); oldest != nil && oldest != c {
+				oldest.close()
+			}
+		}
 	}
 }
 
+// idleShare is the part of all descriptors that connections between two requests may take. Clients hold a third of
+// them at most: with that full of connections that nobody uses any more, new clients could not connect.
+const idleShare = 6
+
 // close ends the connection. Unless the client went first, it holds no unanswered request.
 func (c *client) close() {
 	if c.closed {
@@ -332,7 +342,7 @@
 			case !c.asked && now-c.since >= askWithin, idle >= idleAtMost:
 				c.close()
 			case c.asked && idle >= idleLeast && n.set.Sockets > 0 && len(n.clients) > n.set.Sockets/3:
-				c.close() // more than clients need for their requests
+				c.close() // more than clients need for their requests, silent ones counted
 			}
 		}
 	}
@@ -348,7 +358,7 @@
 	for e := in.Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*client); n.now()-c.idleSince < least {
 			return nil
-		} else if c.unread() == 0 && !c.writing {
+		} else if c.unread() == 0 && !c.writing && c.clean() {
 			return c
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -738,6 +738,26 @@
 	}
 }
 
+// Clients that ask once and keep their connection for good do not keep others out: of the connections between two
+// requests, those idle for longest close once they are many.
+func TestIdleConnectionsAreFew(t *testing.T) {
+	n, addr := start(t, []protocol.Target{target("a", newApp(t, serve))}, func(s *Settings) { s.Sockets = 10 * idleShare })
+	callers := make([]*caller, 15)
+	for i := range callers {
+		callers[i] = dial(t, addr)
+		if code, _, _ := callers[i].ask(text("once", 9000)); code != 200 {
+			t.Fatal(code)
+		}
+		until(n, func() bool { return n.idleClients.Len() == min(i+1, 10) })
+	}
+	if _, err := callers[4].r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the fifth: %v", err)
+	}
+	if code, _, _ := callers[5].ask(text("once", 9000)); code != 200 {
+		t.Errorf("the sixth: %d", code)
+	}
+}
+
 // For want of descriptors, what clients do not use closes before what backends' next requests will need.
 func TestUnusedConnectionsMakeRoom(t *testing.T) {
 	n, addr := start(t, []protocol.Target{target("a", newApp(t, serve))}, func(s *Settings) { s.Sockets = reserve + 3 })
