--- /dev/null
+++ b/cmd/tulipctl/lab.go
@@ -0,0 +1,474 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"tulipglade/internal/lab/experiment"
+	"tulipglade/internal/lab/plots"
+	"tulipglade/internal/lab/policy"
+	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/lab/world"
+)
+
+func labCommand() *cli.Command {
+	seed := &cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed `N`: the same scenario, policy and seed give the same run"}
+	policies := &cli.StringSliceFlag{Name: "policy", Value: []string{policy.Module},
+		Usage: "`NAME`, repeated or with commas; all for every one of: " + strings.Join(policy.Names(), ", ")}
+	file := []cli.Argument{&cli.StringArg{Name: "file", UsageText: "FILE"}}
+	return &cli.Command{
+		Name:  "lab",
+		Usage: "try designs on an emulated fleet, in virtual time",
+		Commands: []*cli.Command{
+			{Name: "scenarios", Usage: "list the scenarios that come with the program", Action: labScenarios, Flags: []cli.Flag{jsonFlag}},
+			{Name: "show", Usage: "print a scenario whole, defaults included, as TOML", Arguments: file, ArgsUsage: "FILE", Action: labShow},
+			{Name: "run", Usage: "play a scenario; exit 1 if a rule is broken", Arguments: file, ArgsUsage: "FILE", Action: labRun,
+				Flags: []cli.Flag{seed, policies, jsonFlag, &cli.StringFlag{Name: "plots", Usage: "draw into `FOLDER`"},
+					&cli.StringFlag{Name: "format", Value: "svg", Usage: "of plots: svg or png"},
+					&cli.BoolFlag{Name: "log", Usage: "print what the policies log"}}},
+			{Name: "sweep", Usage: "play a grid of scenarios on all cores; goes on where it was cut short", Arguments: file,
+				ArgsUsage: "FILE", Action: labSweep, Flags: []cli.Flag{
+					&cli.StringFlag{Name: "out", Required: true, Usage: "results as JSON lines, in `FILE`"},
+					&cli.StringFlag{Name: "csv", Usage: "and as a table, in `FILE`"}, jsonFlag}},
+			{Name: "compare", Usage: "compare results paired by seed; each is FILE or FILE@POLICY", ArgsUsage: "A B", Action: labCompare,
+				Arguments: []cli.Argument{&cli.StringArg{Name: "a"}, &cli.StringArg{Name: "b"}},
+				Flags: []cli.Flag{jsonFlag, &cli.StringSliceFlag{Name: "metric", Value: []string{"score"},
+					Usage: "`NAME`, of: " + strings.Join(experiment.MetricNames(), ", ")}}},
+			{Name: "shrink", Usage: "reduce a case that breaks a rule to the fewest faults and calls", Arguments: file, ArgsUsage: "FILE",
+				Action: labShrink, Flags: []cli.Flag{seed, policies, &cli.IntFlag{Name: "runs", Value: 2000, Usage: "at most `N` runs"},
+					&cli.StringFlag{Name: "out", Usage: "write the reduced scenario to `FILE` instead of standard output"}}},
+			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
+				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
+				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
+			{Name: "cost", Usage: "measure the processor time of a decision by hosts and nodes", Action: labCost, Flags: []cli.Flag{
+				policies, &cli.IntSliceFlag{Name: "hosts", Value: []int{10, 100, 1000, 10000}},
+				&cli.IntSliceFlag{Name: "nodes", Value: []int{3, 30, 300}},
+				&cli.DurationFlag{Name: "each", Value: 3 * time.Second, Usage: "`TIME` for each"},
+				&cli.StringFlag{Name: "plot", Usage: "draw to `FILE`"}, jsonFlag}},
+			{Name: "plot", Usage: "draw a metric of a sweep against a field that it varies", Arguments: file, ArgsUsage: "RESULTS",
+				Action: labPlot, Flags: []cli.Flag{&cli.StringFlag{Name: "field", Required: true}, &cli.StringFlag{Name: "out", Required: true},
+					&cli.StringFlag{Name: "metric", Value: "worth"}}},
+		},
+	}
+}
+
+func fileOf(cmd *cli.Command) (string, error) {
+	name := cmd.StringArg("file")
+	if name == "" {
+		return "", fmt.Errorf("%s: no %s is named", cmd.Name, cmd.ArgsUsage)
+	}
+	if cmd.Args().Present() {
+		return "", fmt.Errorf("%s: %q is one argument too many", cmd.Name, cmd.Args().First())
+	}
+	return name, nil
+}
+
+func policiesOf(cmd *cli.Command) ([]string, error) {
+	names := cmd.StringSlice("policy")
+	if slices.Equal(names, []string{"all"}) {
+		return policy.Names(), nil
+	}
+	for _, n := range names {
+		if _, err := policy.Find(n); err != nil {
+			return nil, err
+		}
+	}
+	return names, nil
+}
+
+func table(cmd *cli.Command) *tabwriter.Writer {
+	return tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+}
+
+func labScenarios(_ context.Context, cmd *cli.Command) error {
+	type line struct {
+		Name  string `json:"name"`
+		About string `json:"about"`
+	}
+	var all []line
+	for _, n := range scenario.Shipped() {
+		sc, err := scenario.Read(n)
+		if err != nil {
+			return err
+		}
+		all = append(all, line{n, sc.About})
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, all)
+	}
+	t := table(cmd)
+	for _, l := range all {
+		fmt.Fprintf(t, "%s\t%s\n", l.Name, l.About)
+	}
+	return t.Flush()
+}
+
+func labShow(_ context.Context, cmd *cli.Command) error {
+	name, err := fileOf(cmd)
+	if err != nil {
+		return err
+	}
+	sc, err := scenario.Read(name)
+	if err != nil {
+		return err
+	}
+	text, err := sc.Text()
+	if err != nil {
+		return err
+	}
+	_, err = cmd.Root().Writer.Write(text)
+	return err
+}
+
+func labRun(_ context.Context, cmd *cli.Command) error {
+	name, err := fileOf(cmd)
+	if err != nil {
+		return err
+	}
+	names, err := policiesOf(cmd)
+	if err != nil {
+		return err
+	}
+	sc, err := scenario.Read(name)
+	if err != nil {
+		return err
+	}
+	var results []*world.Result
+	broken := 0
+	logged := func(w *world.World) {
+		if cmd.Bool("log") {
+			w.Log = func(at int64, node int, text string) {
+				fmt.Fprintf(cmd.Root().ErrWriter, "%.6f node %d: %s\n", float64(at)/1e6, node, text)
+			}
+		}
+	}
+	for _, p := range names {
+		r, err := experiment.Run(sc, p, cmd.Uint64("seed"), logged)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+		broken += len(r.Broken)
+	}
+	if cmd.Bool("json") {
+		err = printJSON(cmd.Root().Writer, results)
+	} else {
+		err = printResults(cmd, results)
+	}
+	if err != nil {
+		return err
+	}
+	if dir := cmd.String("plots"); dir != "" {
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+		base := filepath.Join(dir, sc.Name)
+		if err := plots.Service(base+"-service."+cmd.String("format"), results); err != nil {
+			return err
+		}
+		if err := plots.Latency(base+"-latency."+cmd.String("format"), results); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return no("%s: rules were broken; see above", sc.Name)
+	}
+	return nil
+}
+
+func printResults(cmd *cli.Command, results []*world.Result) error {
+	out := cmd.Root().Writer
+	r := results[0]
+	fmt.Fprintf(out, "%s, seed %d: %d calls, fleet capacity %.0f calls/s\n", r.Scenario, r.Seed, r.Calls, r.Capacity)
+	for _, f := range r.Faults {
+		fmt.Fprintf(out, "  %v\n", f)
+	}
+	t := table(cmd)
+	fmt.Fprintln(t, "\npolicy\tscore\tworth\tworst 10 s\tworst class\tworst tenant\tlast 10 s\tserved\tlate\trefused\tfailed\ttimed out\tleft"+
+		"\tattempts/try\tcross-site\twaste\tp50 ms\tp99 ms\trules broken")
+	for _, r := range results {
+		o := r.Outcomes
+		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%v\n", r.Policy, r.Score,
+			r.Worth, r.WorstWindow, r.WorstClass, r.WorstTenant, r.ServiceAfterEnd, o["served"], o["late"], o["refused"], o["failed"],
+			o["timed-out"], o["left"], r.AttemptsPerTry, r.CrossSite, r.Waste, experiment.Metrics["p50_ms"](r),
+			experiment.Metrics["p99_ms"](r), brokenText(r))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range results {
+		for i, v := range r.Violations {
+			if i < 3 {
+				fmt.Fprintf(out, "\n%s broke %v\n", r.Policy, v)
+			}
+		}
+	}
+	return nil
+}
+
+func brokenText(r *world.Result) string {
+	if len(r.Broken) == 0 {
+		return "none"
+	}
+	var parts []string
+	for rule, n := range r.Broken {
+		parts = append(parts, fmt.Sprintf("%s %d", rule, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+func labSweep(ctx context.Context, cmd *cli.Command) error {
+	name, err := fileOf(cmd)
+	if err != nil {
+		return err
+	}
+	s, err := experiment.LoadSweep(name)
+	if err != nil {
+		return err
+	}
+	cells, hash, err := s.Cells(filepath.Dir(name))
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	rows, err := experiment.RunAll(ctx, cells, hash, cmd.String("out"), progress(cmd.Root().ErrWriter, name))
+	if err != nil {
+		return err
+	}
+	if file := cmd.String("csv"); file != "" {
+		var buf bytes.Buffer
+		if err := experiment.WriteCSV(&buf, rows); err != nil {
+			return err
+		}
+		if err := os.WriteFile(file, buf.Bytes(), 0o644); err != nil {
+			return err
+		}
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, rows)
+	}
+	return printSweep(cmd, rows)
+}
+
+// printSweep prints means over the seeds.
+func printSweep(cmd *cli.Command, rows []experiment.Row) error {
+	metrics := []string{"score", "worth", "worst_window", "waste", "cross_site", "p99_ms", "rules_broken"}
+	t := table(cmd)
+	fmt.Fprint(t, "policy")
+	for _, v := range rows[0].Set {
+		fmt.Fprint(t, "\t", v.Field)
+	}
+	fmt.Fprintln(t, "\truns\t"+strings.Join(metrics, "\t"))
+	for i := 0; i < len(rows); {
+		same, sums := i, make([]float64, len(metrics))
+		for ; same < len(rows) && rows[same].Policy == rows[i].Policy && fmt.Sprint(rows[same].Set) == fmt.Sprint(rows[i].Set); same++ {
+			for k, m := range metrics {
+				sums[k] += experiment.Metrics[m](rows[same].Result)
+			}
+		}
+		fmt.Fprint(t, rows[i].Policy)
+		for _, v := range rows[i].Set {
+			fmt.Fprint(t, "\t", v.To)
+		}
+		fmt.Fprintf(t, "\t%d", same-i)
+		for _, x := range sums {
+			fmt.Fprintf(t, "\t%.3f", x/float64(same-i))
+		}
+		fmt.Fprintln(t)
+		i = same
+	}
+	return t.Flush()
+}
+
+func rowsOf(arg string) ([]experiment.Row, error) {
+	file, pol, one := strings.Cut(arg, "@")
+	rows, err := experiment.ReadRows(file)
+	if err != nil {
+		return nil, err
+	}
+	if one {
+		if rows = experiment.OfPolicy(rows, pol); len(rows) == 0 {
+			return nil, fmt.Errorf("%s: no run of policy %q", file, pol)
+		}
+		return rows, nil
+	}
+	for _, r := range rows {
+		if r.Policy != rows[0].Policy {
+			return nil, fmt.Errorf("%s: holds runs of several policies: say which, as %s@%s", file, file, r.Policy)
+		}
+	}
+	return rows, nil
+}
+
+func labCompare(_ context.Context, cmd *cli.Command) error {
+	if cmd.StringArg("a") == "" || cmd.StringArg("b") == "" {
+		return fmt.Errorf("compare: two files of results are needed, A and B")
+	}
+	a, err := rowsOf(cmd.StringArg("a"))
+	if err != nil {
+		return err
+	}
+	b, err := rowsOf(cmd.StringArg("b"))
+	if err != nil {
+		return err
+	}
+	var all []experiment.Comparison
+	for _, m := range cmd.StringSlice("metric") {
+		c, err := experiment.Compare(a, b, m)
+		if err != nil {
+			return err
+		}
+		all = append(all, c)
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, all)
+	}
+	t := table(cmd)
+	fmt.Fprintln(t, "metric\tpairs\tA\tB\tA - B\t95% interval\tA above\tA below\tdifference shown")
+	for _, c := range all {
+		shown := "no"
+		if c.Shown() {
+			shown = "yes"
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%+.4f\t%+.4f to %+.4f\t%d\t%d\t%s\n", c.Metric, c.Pairs, c.A, c.B, c.Diff, c.Low, c.High,
+			c.Higher, c.Lower, shown)
+	}
+	return t.Flush()
+}
+
+func labShrink(_ context.Context, cmd *cli.Command) error {
+	name, err := fileOf(cmd)
+	if err != nil {
+		return err
+	}
+	names, err := policiesOf(cmd)
+	if err != nil {
+		return err
+	}
+	if len(names) != 1 {
+		return fmt.Errorf("shrink: --policy: one policy at a time, not %d", len(names))
+	}
+	sc, err := scenario.Read(name)
+	if err != nil {
+		return err
+	}
+	s, err := experiment.Shrink(sc, names[0], cmd.Uint64("seed"), cmd.Int("runs"))
+	if err == experiment.ErrNothingBroken {
+		return no("%s, policy %s, seed %d: %w", sc.Name, names[0], cmd.Uint64("seed"), err)
+	}
+	if err != nil {
+		return err
+	}
+	text, err := s.Scenario.Text()
+	if err != nil {
+		return err
+	}
+	if out := cmd.String("out"); out != "" {
+		if err := os.WriteFile(out, text, 0o644); err != nil {
+			return err
+		}
+	} else if _, err := cmd.Root().Writer.Write(text); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().ErrWriter, "%s still broken after %d runs: faults %d to %d, calls %d to %d, seconds %.1f to %.1f\n%v\n", s.Rule,
+		s.Runs, s.Faults[0], s.Faults[1], s.Calls[0], s.Calls[1], s.Seconds[0], s.Seconds[1], s.Violation)
+	return nil
+}
+
+func labVerify(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Float("bound") <= 0 || cmd.Float("effort") <= 0 {
+		return fmt.Errorf("verify: --bound and --effort must be above 0")
+	}
+	checks, err := experiment.Verify(ctx, cmd.Float("effort"), cmd.Float("bound"), progress(cmd.Root().ErrWriter, "verify"))
+	if err != nil {
+		return err
+	}
+	beyond := 0
+	for _, c := range checks {
+		if !c.OK {
+			beyond++
+		}
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd.Root().Writer, checks); err != nil {
+			return err
+		}
+	} else {
+		t := table(cmd)
+		fmt.Fprintln(t, "figure\tmodel\ttheory\terror\t")
+		for _, c := range checks {
+			mark := ""
+			if !c.OK {
+				mark = "BEYOND"
+			}
+			fmt.Fprintf(t, "%s\t%.5f\t%.5f\t%+.2f%%\t%s\n", c.Name, c.Model, c.Theory, 100*c.Error, mark)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	if beyond > 0 {
+		return no("%d of %d figures lie beyond %.1f%%", beyond, len(checks), 100*cmd.Float("bound"))
+	}
+	return nil
+}
+
+func labCost(ctx context.Context, cmd *cli.Command) error {
+	names, err := policiesOf(cmd)
+	if err != nil {
+		return err
+	}
+	var all []experiment.Cost
+	for _, p := range names {
+		for _, nodes := range cmd.IntSlice("nodes") {
+			for _, hosts := range cmd.IntSlice("hosts") {
+				if err := ctx.Err(); err != nil {
+					return err
+				}
+				c, err := experiment.Measure(p, hosts, nodes, cmd.Duration("each"))
+				if err != nil {
+					return err
+				}
+				all = append(all, c)
+			}
+		}
+	}
+	if file := cmd.String("plot"); file != "" {
+		if err := plots.Costs(file, all); err != nil {
+			return err
+		}
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, all)
+	}
+	t := table(cmd)
+	fmt.Fprintln(t, "policy\thosts\tnodes\trequests/s of the node\tµs a request\tµs a whole list\tcores for it")
+	for _, c := range all {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%.2f\t%.0f\t%.3f\n", c.Policy, c.Hosts, c.Nodes, c.PerS, c.Micros, c.PerList, c.PerS*c.Micros/1e6)
+	}
+	return t.Flush()
+}
+
+func labPlot(_ context.Context, cmd *cli.Command) error {
+	name, err := fileOf(cmd)
+	if err != nil {
+		return err
+	}
+	rows, err := experiment.ReadRows(name)
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		return fmt.Errorf("%s: holds no runs", name)
+	}
+	return plots.Against(cmd.String("out"), rows, cmd.String("field"), cmd.String("metric"))
+}
--- /dev/null
+++ b/cmd/tulipctl/main.go
@@ -0,0 +1,94 @@
+// Command tulipctl is the operators' and developers' tool of tulipglade.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/term"
+)
+
+// What the program exits with.
+const (
+	exitDone     = 0
+	exitNo       = 1 // it was done, and the answer is no
+	exitNotBegun = 2 // it could not start: an argument or a file is wrong
+	exitInvalid  = 3 // it was measured, but the measurement does not count
+)
+
+// answer is an error that carries the exit status of what was found, not of what could not be started.
+type answer struct {
+	code int
+	err  error
+}
+
+func (a *answer) Error() string { return a.err.Error() }
+func (a *answer) Unwrap() error { return a.err }
+
+func no(format string, args ...any) error { return &answer{exitNo, fmt.Errorf(format, args...)} }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:           "tulipctl",
+		Usage:          "try, load and manage tulipglade nodes",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the exit status is chosen below
+		Commands:       []*cli.Command{labCommand()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return fmt.Errorf("there is no command %q; see tulipctl --help", name)
+			}
+			return cli.ShowAppHelp(cmd)
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(stderr, "tulipctl:", strings.TrimSpace(err.Error()))
+	var a *answer
+	if errors.As(err, &a) {
+		return a.code
+	}
+	return exitNotBegun
+}
+
+var jsonFlag = &cli.BoolFlag{Name: "json", Usage: "print JSON instead of a table"}
+
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// progress returns a function that shows how far a long command is: a bar on a terminal, else nothing.
+func progress(w io.Writer, what string) func(done, all int) {
+	f, ok := w.(*os.File)
+	if !ok || !term.IsTerminal(int(f.Fd())) {
+		return nil
+	}
+	var bar *progressbar.ProgressBar
+	return func(done, all int) {
+		if bar == nil {
+			bar = progressbar.NewOptions(all, progressbar.OptionSetWriter(w), progressbar.OptionSetDescription(what),
+				progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+		}
+		_ = bar.Set(done) // a bar that cannot be drawn is no reason to stop
+	}
+}
--- /dev/null
+++ b/internal/clients/retry.go
@@ -0,0 +1,64 @@
+package clients
+
+import (
+	"math"
+
+	"tulipglade"
+	"tulipglade/internal/lab/des"
+	"tulipglade/internal/lab/scenario"
+)
+
+// Answer is what a client makes of one try.
+type Answer uint8
+
+// The answers. Unreachable is a node that could not be reached, which proves that the try never ran.
+const (
+	Served Answer = iota
+	Refused
+	Failed
+	TimedOut
+	Unreachable
+)
+
+func (a Answer) String() string {
+	return [...]string{"served", "refused", "failed", "timed-out", "unreachable"}[a]
+}
+
+// Retry decides on repeats, as the platform's clients do.
+type Retry struct {
+	sc      *scenario.Scenario
+	seed    uint64
+	classes []tulipglade.Class
+}
+
+// NewRetry returns what clients of the scenario do.
+func NewRetry(sc *scenario.Scenario, seed uint64) *Retry {
+	return &Retry{sc: sc, seed: seed, classes: sc.Config(0, make([]float64, len(sc.Tenants))).Classes}
+}
+
+// Patience is how long a client waits for a try that begins so long after its call was due, in µs.
+func (r *Retry) Patience(c *Call, since des.Span) des.Span {
+	whole := r.classes[c.Class].Deadline
+	return min(des.Span(r.sc.Clients.TryShare*float64(whole)), whole-since)
+}
+
+// Again tells whether a client repeats its call, and after how long. Tries are those made by now, since is the time from
+// when the call was due, and retryIn what the answer advised; all times are in µs.
+//
+// What is safe to repeat is repeated after any failure, and so is what all boxes drop by key, within its window; the rest
+// only after a refusal, or where no node was reached.
+func (r *Retry) Again(c *Call, how Answer, tries int, since, retryIn des.Span) (wait des.Span, again bool) {
+	s, class := &r.sc.Clients, &r.classes[c.Class]
+	harmless := how == Refused || how == Unreachable || s.RetryFailed || class.Effect == tulipglade.Repeatable ||
+		class.Effect == tulipglade.ByKey && class.Scope == tulipglade.ScopeAll && since < class.Window
+	if !harmless || how == Served || tries > s.Retries {
+		return 0, false
+	}
+	d := des.NewDraws(r.seed, c.N<<8|uint64(tries-1), drawRetry)
+	ms := s.Backoff * math.Pow(s.Growth, float64(tries-1))
+	wait = des.Span(1000 * ms * (1 - s.Jitter + s.Jitter*d.Exp()))
+	if d.Float64() < s.Heed {
+		wait = max(wait, min(retryIn, des.Span(1000*s.MaxRetryAfter)))
+	}
+	return wait, since+wait < class.Deadline
+}
--- a/internal/lab/des/des.go
+++ b/internal/lab/des/des.go
@@ -78,6 +78,14 @@
 // Pending counts the events that wait.
 func (s *Sim) Pending() int { return len(s.heap) }
 
+// Next is when the next event is due, if any is.
+func (s *Sim) Next() (Time, bool) {
+	if len(s.heap) == 0 {
+		return 0, false
+	}
+	return s.heap[0].at, true
+}
+
 // At sets e for the instant at, or for now if that has passed.
 func (s *Sim) At(src *Source, at Time, e Event) {
 	var i int32
--- /dev/null
+++ b/internal/lab/experiment/cost.go
@@ -0,0 +1,138 @@
+package experiment
+
+import (
+	"time"
+
+	"tulipglade"
+	"tulipglade/internal/lab/des"
+	"tulipglade/internal/lab/policy"
+	"tulipglade/internal/lab/scenario"
+)
+
+// Cost is what one node's decisions cost, with so many hosts and nodes in all.
+type Cost struct {
+	Policy  string  `json:"policy"`
+	Hosts   int     `json:"hosts"`
+	Nodes   int     `json:"nodes"`
+	PerS    float64 `json:"requests_per_s"` // that the one node takes
+	Micros  float64 `json:"us_per_request"` // of processor time, with its outcomes and timers
+	PerList float64 `json:"us_per_list"`    // for a whole list
+	Asked   int64   `json:"requests"`
+}
+
+// What a decision is measured under.
+const (
+	costWait  = 150 * des.Millisecond // until an attempt is answered
+	costPerS  = 14.0                  // requests a second for each host: 60% of what it can do
+	costWarm  = 3 * des.Second
+	costMost  = 200000 // requests
+	costLeast = 200
+)
+
+type costNode struct {
+	sim   des.Sim
+	src   des.Source
+	p     policy.Policy
+	rand  des.Stream
+	gap   float64
+	next  tulipglade.ReqID
+	spent time.Duration
+	asked int64
+	tries map[tulipglade.ReqID]int
+	cfg   tulipglade.Config
+}
+
+const (
+	costRequest = iota
+	costSettled
+	costWake
+)
+
+// Measure runs one node of a fleet alone, whose hosts answer after a constant time, and takes the processor time of
+// its policy. It ends after so much time on the clock on the wall at the latest.
+func Measure(name string, hosts, nodes int, budget time.Duration) (Cost, error) {
+	sc := scenario.Default()
+	sc.Nodes.Count, sc.Fleet.Boxes = nodes, hosts
+	if err := sc.Check(); err != nil {
+		return Cost{}, err
+	}
+	maker, err := policy.Find(name)
+	if err != nil {
+		return Cost{}, err
+	}
+	n := &costNode{src: des.NewSource(1), rand: des.NewStream(1, "cost"), tries: map[tulipglade.ReqID]int{}}
+	n.gap = 1e6 * float64(nodes) / (costPerS * float64(hosts))
+	n.cfg = sc.Config(0, make([]float64, len(sc.Tenants)))
+	n.cfg.AskDiscovery = false
+	n.sim.Run(1000 * des.Second)
+	n.p, err = maker(policy.Env{Config: n.cfg, Seed: 1, Actions: n, Publish: func(int, []byte) {},
+		Truth: func(tulipglade.HostID) float64 { return 1 }})
+	if err != nil {
+		return Cost{}, err
+	}
+	list := make([]tulipglade.Host, hosts)
+	for i := range list {
+		list[i] = tulipglade.Host{ID: tulipglade.HostID(i + 1), Phase: tulipglade.PhaseReady, Zone: i % 3, Cell: i / 8, Weight: 1}
+	}
+	n.p.Members(n.sim.Now(), tulipglade.ListFull, list)
+	began := time.Now()
+	n.p.Members(n.sim.Now(), tulipglade.ListFull, list)
+	c := Cost{Policy: name, Hosts: hosts, Nodes: nodes, PerS: 1e6 / n.gap, PerList: float64(time.Since(began).Nanoseconds()) / 1000}
+	n.sim.After(&n.src, 0, des.Event{To: n, Kind: costRequest})
+	warm, began := n.sim.Now()+costWarm, time.Now()
+	for n.sim.Now() < warm && time.Since(began) < budget {
+		n.sim.Step(warm)
+	}
+	n.spent, n.asked = 0, 0
+	for began := time.Now(); n.asked < costMost && (n.asked < costLeast || time.Since(began) < budget); {
+		n.sim.Step(1 << 60)
+	}
+	c.Asked, c.Micros = n.asked, float64(n.spent.Nanoseconds())/1000/float64(n.asked)
+	return c, nil
+}
+
+// Handle takes the node's events.
+func (n *costNode) Handle(now des.Time, e des.Event) {
+	began := time.Now()
+	switch e.Kind {
+	case costRequest:
+		n.next++
+		n.asked++
+		class := int(n.next) % len(n.cfg.Classes)
+		n.p.Request(now, tulipglade.Arrival{ID: n.next, Class: class, Tenant: int(n.next) % len(n.cfg.Tenants),
+			Deadline: now + n.cfg.Classes[class].Deadline})
+	case costSettled:
+		id := tulipglade.ReqID(e.A)
+		no := n.tries[id] - 1
+		delete(n.tries, id)
+		n.p.Settled(now, tulipglade.Settlement{ID: id, Attempt: no, Host: e.P.(tulipglade.HostID), Outcome: tulipglade.OK,
+			Took: costWait, Closed: true})
+	case costWake:
+		n.p.Wake(now, tulipglade.Token(e.A))
+	}
+	n.spent += time.Since(began)
+	if e.Kind == costRequest {
+		n.sim.After(&n.src, des.Span(n.gap*n.rand.ExpFloat64()), des.Event{To: n, Kind: costRequest})
+	}
+}
+
+// Try answers after a constant time.
+func (n *costNode) Try(id tulipglade.ReqID, h tulipglade.HostID, _ tulipglade.Span) {
+	n.tries[id]++
+	n.sim.After(&n.src, costWait, des.Event{To: n, Kind: costSettled, A: int64(id), P: h})
+}
+
+// WakeAt sets a timer.
+func (n *costNode) WakeAt(t tulipglade.Token, delay tulipglade.Span) {
+	n.sim.After(&n.src, delay, des.Event{To: n, Kind: costWake, A: int64(t)})
+}
+
+// The other actions have no consequence here.
+
+func (n *costNode) Cancel(tulipglade.ReqID, int)              {}
+func (n *costNode) Decline(tulipglade.ReqID, tulipglade.Span) {}
+func (n *costNode) Fail(tulipglade.ReqID)                     {}
+func (n *costNode) Probe(tulipglade.HostID)                   {}
+func (n *costNode) Observe(bool)                              {}
+func (n *costNode) Fetch()                                    {}
+func (n *costNode) Log(string)                                {}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,337 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/lab/world"
+)
+
+const sweepText = `scenario = "tiny.toml"
+seeds = 3
+policies = ["tulipglade", "random"]
+[grid]
+"load.level" = [0.3, 0.6]
+"class[0].aim_ms" = [300.0, 600.0]
+`
+
+const tinyText = `name = "tiny"
+seconds = 2.0
+warm_up_s = 0.0
+[[class]]
+name = "only"
+share = 1.0
+work_ms = 50.0
+dist = "exp"
+aim_ms = 500.0
+deadline_ms = 1000.0
+worth = 1.0
+effect = "repeatable"
+`
+
+func sweep(t *testing.T, dir, text string) ([]Cell, string, error) {
+	t.Helper()
+	for name, s := range map[string]string{"tiny.toml": tinyText, "sweep.toml": text} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(s), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := LoadSweep(filepath.Join(dir, "sweep.toml"))
+	if err != nil {
+		return nil, "", err
+	}
+	return s.Cells(dir)
+}
+
+func read(t *testing.T, file string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// A sweep cut short at any byte of its file goes on where it stopped, loses no finished cell, and ends with the very
+// bytes of one that was never cut.
+func TestSweepGoesOnWhereItStopped(t *testing.T) {
+	dir := t.TempDir()
+	cells, hash, err := sweep(t, dir, sweepText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(cells) != 2*2*2*3 {
+		t.Fatalf("%d cells", len(cells))
+	}
+	file := filepath.Join(dir, "whole.jsonl")
+	rows, err := RunAll(t.Context(), cells, hash, file, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, b := rows[0].Result, rows[len(rows)-1].Result; rows[0].Set[1].To == rows[len(rows)-1].Set[1].To || a.Worth == b.Worth {
+		t.Errorf("the grid is not applied: %v %v", rows[0].Set, rows[len(rows)-1].Set)
+	}
+	whole := read(t, file)
+	lines := bytes.SplitAfter(whole, []byte("\n"))
+	for _, cut := range []int{0, 5, len(lines[0]), len(lines[0]) + 1, len(lines[0]) + len(lines[1]) + 40, len(whole) / 2, len(whole) - 1, len(whole)} {
+		t.Run(fmt.Sprint("cut at ", cut), func(t *testing.T) {
+			file := filepath.Join(dir, "cut.jsonl")
+			if err := os.WriteFile(file, whole[:cut], 0o644); err != nil {
+				t.Fatal(err)
+			}
+			kept, played := max(bytes.Count(whole[:cut], []byte("\n"))-1, 0), 0
+			if _, err := RunAll(t.Context(), cells, hash, file, func(int, int) { played++ }); err != nil {
+				t.Fatal(err)
+			}
+			if played != len(cells)-kept {
+				t.Errorf("played %d of %d cells though %d were finished", played, len(cells), kept)
+			}
+			if !bytes.Equal(read(t, file), whole) {
+				t.Error("the file differs from that of a sweep never cut")
+			}
+		})
+	}
+	t.Run("cancelled half-way", func(t *testing.T) {
+		file := filepath.Join(dir, "cancelled.jsonl")
+		ctx, stop := context.WithCancel(t.Context())
+		_, err := RunAll(ctx, cells, hash, file, func(done, _ int) {
+			if done == 5 {
+				stop()
+			}
+		})
+		if !errors.Is(err, context.Canceled) {
+			t.Fatalf("cancelled: %v", err)
+		}
+		if n := bytes.Count(read(t, file), []byte("\n")) - 1; n < 5 {
+			t.Errorf("%d cells on disk of 5 finished", n)
+		}
+		if _, err := RunAll(t.Context(), cells, hash, file, nil); err != nil || !bytes.Equal(read(t, file), whole) {
+			t.Errorf("resumed: %v, or other bytes", err)
+		}
+	})
+	t.Run("another sweep's file", func(t *testing.T) {
+		if _, err := RunAll(t.Context(), cells, "other", file, nil); !errors.Is(err, ErrOther) {
+			t.Errorf("%v", err)
+		}
+		if !bytes.Equal(read(t, file), whole) {
+			t.Error("it was changed")
+		}
+	})
+	var csv bytes.Buffer
+	if err := WriteCSV(&csv, rows); err != nil || strings.Count(csv.String(), "\n") != len(cells)+1 ||
+		!strings.HasPrefix(csv.String(), "scenario,policy,seed,class[0].aim_ms,load.level,") {
+		t.Errorf("%v\n%.300s", err, csv.String())
+	}
+}
+
+func TestSweepErrorsNameTheField(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, says string }{
+		"unknown field":    {`"load.level"`, `"load.levle"`, "load.levle: there is no such field"},
+		"impossible value": {"[0.3, 0.6]", "[0.3, -1]", "load.level: -1 is not within"},
+		"no such element":  {"class[0]", "class[4]", `grid.class[4].aim_ms: there are only 1 of "class"`},
+		"unknown policy":   {`"random"`, `"lucky"`, `sweep.toml:3: policies: policy "lucky" is none of`},
+		"unknown key":      {"seeds", "sedes", "sweep.toml:2: sedes: there is no such field"},
+		"no seeds":         {"seeds = 3", "seeds = 0", "sweep.toml:2: seeds: 0 is not within 1"},
+		"no scenario":      {"tiny.toml", "none.toml", "none.toml"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := sweep(t, t.TempDir(), strings.Replace(sweepText, c.from, c.to, 1))
+			if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v, want one line with %q", err, c.says)
+			}
+		})
+	}
+}
+
+func rowsWith(policy string, worth ...float64) []Row {
+	var rows []Row
+	for i, w := range worth {
+		rows = append(rows, Row{Cell{Policy: policy, Seed: uint64(i)}, &world.Result{Scenario: "x", Worth: w}})
+	}
+	return rows
+}
+
+func TestCompare(t *testing.T) {
+	noise := []float64{0.5, 0.9, 0.1, 0.7, 0.3, 0.6, 0.2, 0.8}
+	plus := func(d float64) []float64 {
+		out := slices.Clone(noise)
+		for i := range out {
+			out[i] += d + 0.001*float64(i%3)
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		a, b   []Row
+		shown  bool
+		higher int
+		pairs  int
+	}{
+		// The days differ by far more than the policies: only pairing shows it.
+		"a little better on every day": {rowsWith("a", plus(0.01)...), rowsWith("b", noise...), true, 8, 8},
+		"the same":                     {rowsWith("a", noise...), rowsWith("b", noise...), false, 0, 8},
+		"now better, now worse":        {rowsWith("a", noise...), rowsWith("b", append(noise[1:], noise[0])...), false, 4, 8},
+		"some runs missing":            {rowsWith("a", plus(0.01)...), rowsWith("b", noise[:5]...), true, 5, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := Compare(c.a, c.b, "worth")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.Shown() != c.shown || got.Higher != c.higher || got.Pairs != c.pairs || got.Low > got.Diff || got.High < got.Diff {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+	if _, err := Compare(rowsWith("a", 1), nil, "worth"); !errors.Is(err, ErrNoPairs) {
+		t.Errorf("no pairs: %v", err)
+	}
+	if _, err := Compare(nil, nil, "wroth"); err == nil || !strings.Contains(err.Error(), "wroth") {
+		t.Errorf("unknown metric: %v", err)
+	}
+}
+
+// The interval must hold the true difference about 95 times in 100.
+func TestIntervalCovers(t *testing.T) {
+	held, n := 0, 200
+	for seed := range n {
+		var a, b []float64
+		r := rand.New(rand.NewPCG(uint64(seed), 1))
+		for range 30 {
+			x := r.Float64()
+			a, b = append(a, x+0.1+0.05*r.NormFloat64()), append(b, x)
+		}
+		c, err := Compare(rowsWith("a", a...), rowsWith("b", b...), "worth")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Low <= 0.1 && 0.1 <= c.High {
+			held++
+		}
+	}
+	if held < n*88/100 || held == n {
+		t.Errorf("the interval held the true difference %d times in %d", held, n)
+	}
+}
+
+func TestDdminFindsTheFewest(t *testing.T) {
+	var items []int
+	for i := range 200 {
+		items = append(items, i)
+	}
+	for name, need := range map[string][]int{"none": nil, "one": {77}, "first and last": {0, 199}, "three apart": {3, 90, 150}} {
+		runs := 0
+		got := ddmin(items, func(list []int) bool {
+			runs++
+			for _, n := range need {
+				if !slices.Contains(list, n) {
+					return false
+				}
+			}
+			return true
+		})
+		if !slices.Equal(got, need) && len(need) > 0 || len(got) != len(need) || runs > 400 {
+			t.Errorf("%s: %v after %d runs", name, got, runs)
+		}
+	}
+}
+
+// A case that breaks a rule shrinks to one that does so still, from its text alone, with hardly anything left in it.
+func TestShrink(t *testing.T) {
+	const file = `
+seconds = 12.0
+load.level = 0.9
+[[fault]]
+kind = "fast-errors"
+at_ms = 1000
+for_ms = 3000
+[[fault]]
+kind = "kill"
+at_ms = 2000
+for_ms = 3000
+boxes = [2]
+[[fault]]
+kind = "list-down"
+at_ms = 9000
+`
+	sc, err := scenario.Parse("x.toml", []byte(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Random choice knows nothing of cold boxes: where most of the fleet is one, it pushes it over.
+	sc.Fleet.Boxes = 3
+	var s *Shrunk
+	seed := uint64(1)
+	for ; seed < 30; seed++ {
+		if s, err = Shrink(sc, "random", seed, 1500); !errors.Is(err, ErrNothingBroken) {
+			break
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Faults[0] != 3 || s.Faults[1] != 1 || s.Calls[1] >= s.Calls[0]/4 || s.Seconds[1] >= s.Seconds[0] {
+		t.Errorf("faults %v, calls %v, seconds %v after %d runs", s.Faults, s.Calls, s.Seconds, s.Runs)
+	}
+	text, err := s.Scenario.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := scenario.Parse("shrunk.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(again, "random", seed)
+	if err != nil || r.Broken[string(s.Rule)] == 0 {
+		t.Errorf("the text of the reduced case breaks %v, not %s: %v", r.Broken, s.Rule, err)
+	}
+	calm, err := scenario.Parse("x.toml", []byte("seconds = 2.0\nwarm_up_s = 0.0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Shrink(calm, "random", 1, 10); !errors.Is(err, ErrNothingBroken) {
+		t.Errorf("a sound case: %v", err)
+	}
+}
+
+// The file of a sweep must not depend on how many cores played it.
+func TestOneCoreOrFour(t *testing.T) {
+	dir := t.TempDir()
+	cells, hash, err := sweep(t, dir, sweepText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var one []Row
+	for _, c := range cells {
+		r, err := Run(c.sc, c.Policy, c.Seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		one = append(one, Row{c, r})
+	}
+	four, err := RunAll(t.Context(), cells, hash, filepath.Join(dir, "four.jsonl"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, errA := json.Marshal(one)
+	b, errB := json.Marshal(four)
+	if errA != nil || errB != nil || !bytes.Equal(a, b) {
+		t.Errorf("other bytes (%v, %v)", errA, errB)
+	}
+}
+
+func TestCostCountsRequests(t *testing.T) {
+	c, err := Measure("two-choices", 10, 3, 0)
+	if err != nil || c.Asked < costLeast || c.Micros <= 0 || c.PerS < 40 || c.PerS > 50 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/plots/plots.go
@@ -0,0 +1,204 @@
+// Package plots draws what the lab found, as SVG or PNG by the file's ending.
+package plots
+
+import (
+	"cmp"
+	"fmt"
+	"image/color"
+	"math"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"tulipglade/internal/lab/experiment"
+	"tulipglade/internal/lab/world"
+)
+
+const width, height = 9 * vg.Inch, 4.5 * vg.Inch
+
+// Formats are the endings of files that can be drawn.
+var Formats = []string{"svg", "png"}
+
+func save(p *plot.Plot, file string) error {
+	if !slices.Contains(Formats, ext(file)) {
+		return fmt.Errorf("%s: the ending is none of %v", file, Formats)
+	}
+	p.Add(plotter.NewGrid())
+	if err := p.Save(width, height, file); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+func ext(file string) string {
+	if e := filepath.Ext(file); e != "" {
+		return e[1:]
+	}
+	return ""
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Left, p.Legend.XOffs = true, vg.Millimeter
+	return p
+}
+
+func addLine(p *plot.Plot, name string, i int, pts plotter.XYs, dots bool) error {
+	line, points, err := plotter.NewLinePoints(pts)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	line.Color, line.Width = plotutil.Color(i), vg.Points(1.4)
+	line.Dashes = plotutil.Dashes(i / 7)
+	points.Color, points.Shape = plotutil.Color(i), plotutil.Shape(i)
+	p.Add(line)
+	if dots {
+		p.Add(points)
+		p.Legend.Add(name, line, points)
+	} else {
+		p.Legend.Add(name, line)
+	}
+	return nil
+}
+
+// Service draws the share of worth served in each second, one line a result, with the faults of the first shaded.
+func Service(file string, results []*world.Result) error {
+	p := newPlot("Service over time: "+results[0].Scenario, "s", "worth served in time, of that asked for")
+	p.Y.Min, p.Y.Max = 0, 1.02
+	length := float64(len(results[0].Series.Asked))
+	for i, f := range results[0].Faults {
+		from, till := float64(f.At)/1000, min(float64(f.End())/1000, length)
+		shade, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: till, Y: 0}, {X: till, Y: 1.02}, {X: from, Y: 1.02}})
+		if err != nil {
+			return err
+		}
+		shade.Color, shade.LineStyle.Width = color.NRGBA{R: 200, G: 60, B: 60, A: 28}, 0
+		p.Add(shade)
+		if i < 8 {
+			at := 0.02 + 0.05*float64(i)
+			label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: from, Y: at}}, Labels: []string{string(f.Kind)}})
+			if err != nil {
+				return err
+			}
+			p.Add(label)
+		}
+	}
+	for i, r := range results {
+		var pts plotter.XYs
+		for s := range r.Series.Asked {
+			if r.Series.Asked[s] > 0 {
+				pts = append(pts, plotter.XY{X: float64(s) + 0.5, Y: r.Series.Served[s] / r.Series.Asked[s]})
+			}
+		}
+		if err := addLine(p, r.Policy, i, pts, false); err != nil {
+			return err
+		}
+	}
+	return save(p, file)
+}
+
+// nines puts percentiles on a scale on which each further nine is one step, as tails are read.
+type nines struct{}
+
+func (nines) Ticks(_, _ float64) []plot.Tick {
+	var ticks []plot.Tick
+	for _, q := range []float64{50, 90, 99, 99.9, 99.99} {
+		ticks = append(ticks, plot.Tick{Value: step(q), Label: strconv.FormatFloat(q, 'g', -1, 64) + "%"})
+	}
+	return ticks
+}
+
+func step(q float64) float64 { return -math.Log10(1 - min(q, 99.999)/100) }
+
+// Latency draws the percentiles of the time to a served answer, one line a result.
+func Latency(file string, results []*world.Result) error {
+	p := newPlot("Time to a served answer: "+results[0].Scenario, "percentile", "ms from when the call was due")
+	p.X.Tick.Marker, p.Legend.Top = nines{}, true
+	for i, r := range results {
+		var pts plotter.XYs
+		for _, l := range r.Latency {
+			if l.Q < 100 {
+				pts = append(pts, plotter.XY{X: step(l.Q), Y: l.Ms})
+			}
+		}
+		if err := addLine(p, r.Policy, i, pts, true); err != nil {
+			return err
+		}
+	}
+	return save(p, file)
+}
+
+// Against draws a metric against a field that a sweep varies: the mean over all else, one line a policy.
+func Against(file string, rows []experiment.Row, field, metric string) error {
+	of := experiment.Metrics[metric]
+	if of == nil {
+		return fmt.Errorf("metric %s: there is no such figure", metric)
+	}
+	type sum struct{ total, n float64 }
+	lines := map[string]map[float64]*sum{}
+	for _, r := range rows {
+		for _, v := range r.Set {
+			x, ok := v.To.(float64)
+			if v.Field != field || !ok {
+				continue
+			}
+			if lines[r.Policy] == nil {
+				lines[r.Policy] = map[float64]*sum{}
+			}
+			if lines[r.Policy][x] == nil {
+				lines[r.Policy][x] = &sum{}
+			}
+			s := lines[r.Policy][x]
+			s.total, s.n = s.total+of(r.Result), s.n+1
+		}
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("field %s: no run sets it to a number", field)
+	}
+	p := newPlot(metric+" against "+field+": "+rows[0].Result.Scenario, field, metric)
+	var names []string
+	for n := range lines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for i, n := range names {
+		var pts plotter.XYs
+		for x, s := range lines[n] {
+			pts = append(pts, plotter.XY{X: x, Y: s.total / s.n})
+		}
+		slices.SortFunc(pts, func(a, b plotter.XY) int { return cmp.Compare(a.X, b.X) })
+		if err := addLine(p, n, i, pts, true); err != nil {
+			return err
+		}
+	}
+	return save(p, file)
+}
+
+// Costs draws the processor time of a decision against the number of hosts, one line for each policy and number of
+// nodes.
+func Costs(file string, costs []experiment.Cost) error {
+	p := newPlot("Processor time of a decision", "hosts", "µs for a request with its outcomes")
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	lines, names := map[string]plotter.XYs{}, []string{}
+	for _, c := range costs {
+		n := fmt.Sprintf("%s, %d nodes", c.Policy, c.Nodes)
+		if lines[n] == nil {
+			names = append(names, n)
+		}
+		lines[n] = append(lines[n], plotter.XY{X: float64(c.Hosts), Y: c.Micros})
+	}
+	p.Legend.Top = true
+	for i, n := range names {
+		if err := addLine(p, n, i, lines[n], true); err != nil {
+			return err
+		}
+	}
+	return save(p, file)
+}
--- /dev/null
+++ b/internal/lab/world/live.go
@@ -0,0 +1,252 @@
+package world
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tulipglade"
+	"tulipglade/internal/clients"
+	"tulipglade/internal/faults"
+	"tulipglade/internal/judge"
+	"tulipglade/internal/lab/des"
+	"tulipglade/internal/lab/scenario"
+)
+
+// Live is a scenario's boxes and what discovery knows of them, without clients and nodes: for stand-ins that serve them
+// on sockets in real time. It has no clock of its own. Whoever drives it calls Advance with the time since the start,
+// and hears what happens meanwhile through Effects. It is not safe for concurrent use.
+type Live struct {
+	w      *World
+	out    Effects
+	nodes  []*Node
+	listed int
+}
+
+// Effects is who hears of what a Live does. Calls come from within Advance and the other methods, and must not call
+// back.
+type Effects interface {
+	// Answered is the end of an attempt at its box; Reset is a connection to be broken.
+	Answered(p Pending, out tulipglade.Outcome)
+	// Listed is a line of the list, as discovery learns of it.
+	Listed(line Line)
+	// Began and Ended are faults; those that hit only boxes have been played by then.
+	Began(f faults.Fault)
+	Ended(f faults.Fault)
+}
+
+// Line is what discovery tells of a box. Its start counts from the start of the run; below 0: long before.
+type Line struct {
+	Box, Place int // the number of its process's machine, and the address that it has
+	Site, Rack int
+	Weight     float64
+	Phase      tulipglade.Phase
+	Started    des.Time
+}
+
+// Attempt is a request that has come whole to a box's address.
+type Attempt struct {
+	Place   int
+	Node    int    // who sent it
+	ID      string // the request's id
+	Repeat  string // by which repeats are known: the idempotency key, or the id
+	Class   int
+	Key     uint64
+	Timeout des.Span // how long the node will wait; 0: not told
+	Fresh   bool     // the first on its connection
+	Pending any      // handed back with the answer
+}
+
+// Pending is an attempt that a box has taken in hand.
+type Pending struct {
+	Any    any
+	Ran    bool // it has begun to run
+	Report tulipglade.Report
+	a      *attempt
+}
+
+// liveEnd hears the ends of attempts in place of a node.
+type liveEnd struct{ l *Live }
+
+func (e liveEnd) Handle(_ des.Time, ev des.Event) {
+	a := ev.P.(*attempt)
+	if !a.open {
+		return
+	}
+	a.open = false
+	e.l.out.Answered(Pending{Any: a.pending, Ran: a.ran, Report: a.report, a: a}, tulipglade.Outcome(ev.A))
+}
+
+// liveFaults hears the scenario's faults begin and end.
+type liveFaults struct{ l *Live }
+
+func (f liveFaults) Handle(now des.Time, ev des.Event) {
+	if ev.Kind == faultBegins {
+		f.l.begin(now, int(ev.A))
+	} else {
+		f.l.finish(now, int(ev.A))
+	}
+}
+
+// NewLive returns the boxes of a checked scenario.
+func NewLive(sc *scenario.Scenario, seed uint64, out Effects) *Live {
+	own := *sc
+	own.Net.Same, own.Net.Cross, own.Net.Jitter = 0, 0, 0 // sockets have delays of their own
+	w := &World{sc: &own, seed: seed, byID: map[tulipglade.HostID]*Box{}, ledgers: map[int]*ledger{}, active: map[int]bool{},
+		cut: make([]int, len(sc.Fleet.Sites)), faultSrc: des.NewSource(sourceFault), faults: Faults(sc, seed),
+		classes: sc.Config(0, make([]float64, len(sc.Tenants))).Classes, meanWork: clients.MeanWork(sc),
+		judge: judge.New(judge.Config{}, origin)}
+	w.sim.Run(origin)
+	w.rec = newRecorder(w)
+	w.disc = &discovery{w: w, src: des.NewSource(sourceDiscovery), rand: des.NewStream(seed, "discovery")}
+	l := &Live{w: w, out: out}
+	for place := range sc.Fleet.Boxes {
+		b := w.newBox(place, tulipglade.HostID(place+1), "box")
+		w.boxes, w.byID[b.id] = append(w.boxes, b), b
+		w.capacity += b.full()
+		w.disc.log = append(w.disc.log, change{w.line(b, tulipglade.PhaseReady), origin})
+		if every := us(sc.Fleet.Report.Every); every > 0 {
+			w.sim.After(&b.src, des.Span(b.rand.Float64()*float64(every)), des.Event{To: b, Kind: boxRefresh})
+		}
+	}
+	w.lastID = tulipglade.HostID(len(w.boxes))
+	for i := range sc.Nodes.Count {
+		l.nodes = append(l.nodes, &Node{w: w, index: i, site: sc.Site(i)})
+	}
+	l.tell()
+	for i, f := range w.faults {
+		l.plan(i, f)
+	}
+	return l
+}
+
+func (l *Live) plan(i int, f faults.Fault) {
+	w := l.w
+	w.sim.At(&w.faultSrc, origin+f.At*des.Millisecond, des.Event{To: liveFaults{l}, Kind: faultBegins, A: int64(i)})
+	if f.For > 0 {
+		w.sim.At(&w.faultSrc, origin+f.End()*des.Millisecond, des.Event{To: liveFaults{l}, Kind: faultEnds, A: int64(i)})
+	}
+}
+
+// ofNodes are the faults that the boxes have no part in.
+func ofNodes(k faults.Kind) bool {
+	switch k {
+	case faults.NodeKill, faults.ClockOff, faults.DatagramsLost, faults.HotNode, faults.Surge, faults.ListDown:
+		return true
+	}
+	return false
+}
+
+func (l *Live) begin(now des.Time, i int) {
+	f := l.w.faults[i]
+	if !ofNodes(f.Kind) {
+		l.w.begin(now, i)
+	}
+	l.out.Began(f)
+	l.tell()
+}
+
+func (l *Live) finish(now des.Time, i int) {
+	f := l.w.faults[i]
+	if !ofNodes(f.Kind) {
+		l.w.finish(now, i)
+	}
+	l.out.Ended(f)
+	l.tell()
+}
+
+// Begin starts a fault now, whatever its own times say; it lasts for its own length, or until End. What is left open
+// in it is settled by the seed. It returns the fault's number.
+func (l *Live) Begin(f faults.Fault) (int, faults.Fault) {
+	name := func(i int) string { return l.w.sc.Fleet.Sites[l.w.sc.Site(i)] }
+	f = f.Settle(l.w.sc.Scope(name, name), des.NewStream(l.w.seed, "order "+string(f.Kind)))
+	f.At = (l.w.sim.Now() - origin) / des.Millisecond
+	i := len(l.w.faults)
+	l.w.faults = append(l.w.faults, f)
+	l.begin(l.w.sim.Now(), i)
+	if f.For > 0 {
+		l.w.sim.At(&l.w.faultSrc, origin+f.End()*des.Millisecond, des.Event{To: liveFaults{l}, Kind: faultEnds, A: int64(i)})
+	}
+	return i, f
+}
+
+// End ends the fault of that number, and tells whether it was on.
+func (l *Live) End(i int) bool {
+	if i < 0 || i >= len(l.w.faults) || !l.w.active[i] && !ofNodes(l.w.faults[i].Kind) {
+		return false
+	}
+	l.finish(l.w.sim.Now(), i)
+	return true
+}
+
+// Advance plays up to now, and returns when the next thing is due; never, if nothing is.
+func (l *Live) Advance(now des.Time) (next des.Time) {
+	l.w.sim.Run(origin + now)
+	l.tell()
+	if at, ok := l.w.sim.Next(); ok {
+		return at - origin
+	}
+	return math.MaxInt64
+}
+
+// tell passes on what discovery has learned.
+func (l *Live) tell() {
+	for ; l.listed < l.w.disc.version(); l.listed++ {
+		h := l.w.disc.log[l.listed].host
+		started := h.Started - origin
+		if h.Started == 0 {
+			started = -1
+		}
+		l.out.Listed(Line{Box: int(h.ID), Place: l.w.byID[h.ID].place, Site: h.Zone, Rack: h.Cell, Weight: h.Weight, Phase: h.Phase,
+			Started: started})
+	}
+}
+
+// Up tells whether the process at that address runs, and whether its machine has vanished.
+func (l *Live) Up(place int) (up, silent bool) { return l.w.boxes[place].up, l.w.boxes[place].silent }
+
+// Parted tells whether the link between a node and a box's address is cut.
+func (l *Live) Parted(node, place int) bool {
+	return l.w.parted(l.w.sc.Site(node), l.w.sc.Site(place))
+}
+
+// Life changes whenever the process at that address does.
+func (l *Live) Life(place int) any { return l.w.boxes[place].life }
+
+// Capacity is what the fleet can do, in µs of work for each µs.
+func (l *Live) Capacity() float64 { return l.w.capacity }
+
+// Executions counts what has begun to run; SecondRuns what did so again although it must not.
+func (l *Live) Executions() int64 { return l.w.rec.executions }
+
+// Arrive hands an attempt to the box at its address.
+func (l *Live) Arrive(now des.Time, in Attempt) Pending {
+	w := l.w
+	w.sim.Run(origin + now)
+	b := w.boxes[in.Place]
+	id := xxhash.Sum64String(in.ID)
+	c := &call{Call: clients.Call{N: xxhash.Sum64String(in.Repeat), Class: in.Class, Key: in.Key}, effect: w.classes[in.Class].Effect}
+	r := &request{id: tulipglade.ReqID(id >> 8), call: c, node: l.nodes[in.Node], to: liveEnd{l}, deadline: math.MaxInt64}
+	if in.Timeout > 0 {
+		r.deadline = w.sim.Now() + in.Timeout
+	}
+	a := &attempt{req: r, box: b, life: b.life, sent: w.sim.Now(), open: true, fresh: in.Fresh, pending: in.Pending}
+	a.work = clients.DrawWork(w.sc, w.seed, c.N, in.Class)
+	if noise := w.sc.Classes[in.Class].Noise; noise > 0 {
+		d := des.NewDraws(w.seed, id, drawWork)
+		a.work *= clients.Lognormal(noise, d.Norm())
+	}
+	b.coming++
+	b.arrive(w.sim.Now(), a)
+	return Pending{Any: in.Pending, a: a}
+}
+
+// Abandon is a node that has given an attempt up: its connection is closed.
+func (l *Live) Abandon(p Pending) {
+	p.a.open = false
+	b := p.a.box
+	b.Handle(l.w.sim.Now(), des.Event{To: b, Kind: boxCancel, P: p.a})
+}
+
+// Connected counts connections to an address, for the box's cap.
+func (l *Live) Connected(place, n int) { l.w.boxes[place].life.conns += n }
--- a/internal/lab/world/station.go
+++ b/internal/lab/world/station.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"tulipglade"
+	"tulipglade/internal/clients"
 	"tulipglade/internal/judge"
 	"tulipglade/internal/lab/des"
 	"tulipglade/internal/lab/scenario"
@@ -60,7 +61,8 @@
 	sc := scenario.Default()
 	sc.Fleet.Boxes, sc.Fleet.Sites, sc.Fleet.Affinity.Gain, sc.Fleet.Overdrive.PerCore = s.Boxes, []string{"x"}, 0, 0
 	sc.Fleet.Conns, sc.Net = scenario.Connections{}, scenario.Net{}
-	sc.Fleet.Kinds = []scenario.Kind{{Share: 1, Cores: s.Cores, Speed: scenario.Range{1, 1}, Slots: s.Slots, Queue: s.Room}}
+	sc.Fleet.Kinds = []scenario.Kind{{Share: 1, Cores: s.Cores, Speed: scenario.Range{1, 1}, Slots: s.Slots, Queue: s.Room,
+		ColdFrom: scenario.Range{1, 1}, Cold: scenario.Range{0, 0}}}
 	w := &World{sc: &sc, seed: s.Seed, cut: []int{0}, judge: judge.New(judge.Config{}, origin), ledgers: map[int]*ledger{}}
 	w.rec = newRecorder(w)
 	w.sim.Run(origin)
@@ -130,7 +132,7 @@
 	case "exp":
 		a.work *= st.rand.ExpFloat64()
 	case "lognormal":
-		a.work *= lognormal(st.sigma, st.rand.NormFloat64())
+		a.work *= clients.Lognormal(st.sigma, st.rand.NormFloat64())
 	}
 	b.coming++
 	before := b.Held()
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -81,6 +81,9 @@
 		if line, ok := lines[path]; ok {
 			return line
 		}
+		if line, ok := lines[path+"[0]"]; ok {
+			return line
+		}
 		cut := strings.LastIndexAny(path, ".[")
 		if cut < 0 {
 			break
