Add a world of stand-ins and a load generator that says when it cannot keep its schedule

Tools that send only after each reply hide the delays that matter.

Change: internal/standin serves a lab scenario on loopback in real time: the lab's own boxes behind HTTP/1.1, an address for each box and node, discovery with watch, a front, cuts in which connections never come up, a control port, an event log, runs counted by request id. internal/load sends by the same schedule and repeats by the same rules as the lab's clients, counts from the moment a call was due, folds repeats, and marks a run INVALID (exit 3) with its cause. tulipctl demo, load run | find | compare | verify | record | null | proxy, world run.

--- a/cmd/tulipctl/main_test.go
+++ b/cmd/tulipctl/main_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"tulipglade/internal/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -20,5 +24,17 @@
 }
 
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+	node := filepath.Join(t.TempDir(), "tulipglade")
+	if out, err := exec.Command("go", "build", "-o", node, "../tulipglade").CombinedOutput(); err != nil {
+		t.Fatalf("the node does not build: %v\n%s", err, out)
+	}
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
+		addrs, err := standin.FreeAddrs(1)
+		if err != nil {
+			return err
+		}
+		env.Setenv("NODE", node)
+		env.Setenv("NULL", addrs[0])
+		return nil
+	}})
 }
--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -15,8 +15,10 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"tulipglade/internal/faults"
 	"tulipglade/internal/lab/experiment"
 	"tulipglade/internal/lab/world"
+	"tulipglade/internal/load"
 )
 
 const width, height = 9 * vg.Inch, 4.5 * vg.Inch
@@ -71,23 +73,8 @@
 func Service(file string, results []*world.Result) error {
 	p := newPlot("Service over time: "+results[0].Scenario, "s", "worth served in time, of that asked for")
 	p.Y.Min, p.Y.Max = 0, 1.02
-	length := float64(len(results[0].Series.Asked))
-	for i, f := range results[0].Faults {
-		from, till := float64(f.At)/1000, min(float64(f.End())/1000, length)
-		shade, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: till, Y: 0}, {X: till, Y: 1.02}, {X: from, Y: 1.02}})
-		if err != nil {
-			return err
-		}
-		shade.Color, shade.LineStyle.Width = color.NRGBA{R: 200, G: 60, B: 60, A: 28}, 0
-		p.Add(shade)
-		if i < 8 {
-			at := 0.02 + 0.05*float64(i)
-			label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: from, Y: at}}, Labels: []string{string(f.Kind)}})
-			if err != nil {
-				return err
-			}
-			p.Add(label)
-		}
+	if err := shade(p, results[0].Faults, float64(len(results[0].Series.Asked)), 1.02); err != nil {
+		return err
 	}
 	for i, r := range results {
 		var pts plotter.XYs
@@ -202,3 +189,56 @@
 	}
 	return save(p, file)
 }
+
+// Load draws a load run: p50, p99 and the longest time of each second's served calls, and the share that was not served.
+func Load(file string, r *load.Result, list []faults.Fault) error {
+	p := newPlot("Load: "+r.Scenario, "s since the start, by when calls were due", "ms")
+	p.Legend.Top = true
+	var p50, p99, most, lost plotter.XYs
+	top := 1.0
+	for _, s := range r.Series {
+		x := float64(s.At) + 0.5
+		p50, p99, most = append(p50, plotter.XY{X: x, Y: s.P50}), append(p99, plotter.XY{X: x, Y: s.P99}), append(most, plotter.XY{X: x, Y: s.Max})
+		top = max(top, s.Max)
+		if s.Due > 0 {
+			lost = append(lost, plotter.XY{X: x, Y: 1 - float64(s.Outcomes["served"]+s.Outcomes["late"])/float64(s.Due)})
+		}
+	}
+	for i := range lost { // on the same scale: the whole height is all of them
+		lost[i].Y *= top
+	}
+	if err := shade(p, list, float64(len(r.Series)), top); err != nil {
+		return err
+	}
+	for i, l := range []struct {
+		name string
+		pts  plotter.XYs
+	}{{"p50", p50}, {"p99", p99}, {"longest", most}, {"share not served (height: all)", lost}} {
+		if err := addLine(p, l.name, i, l.pts, false); err != nil {
+			return err
+		}
+	}
+	return save(p, file)
+}
+
+// shade marks the time of each fault.
+func shade(p *plot.Plot, list []faults.Fault, length, top float64) error {
+	for i, f := range list {
+		from, till := float64(f.At)/1000, min(float64(f.End())/1000, length)
+		area, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: till, Y: 0}, {X: till, Y: top}, {X: from, Y: top}})
+		if err != nil {
+			return err
+		}
+		area.Color, area.LineStyle.Width = color.NRGBA{R: 200, G: 60, B: 60, A: 28}, 0
+		p.Add(area)
+		if i < 8 {
+			at := top * (0.02 + 0.05*float64(i))
+			label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: from, Y: at}}, Labels: []string{string(f.Kind)}})
+			if err != nil {
+				return err
+			}
+			p.Add(label)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/nodes.go
@@ -0,0 +1,246 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"tulipglade/internal/faults"
+)
+
+// NodeConfig is the configuration file of a node in this world, as the platform would write it.
+func (w *World) NodeConfig(node int, limits NodeLimits) ([]byte, error) {
+	type obj = map[string]any
+	sc := w.sc
+	us := func(ms float64) int64 { return int64(ms * 1000) }
+	settings := obj{"discovery": "push", "me": node, "my_zone": sc.Site(node), "peers_total": sc.Nodes.Count, "zones": sc.Fleet.Sites,
+		"tick_us": us(sc.Nodes.Tick),
+		"limits": obj{"max_attempts": sc.Rules.MaxAttempts, "may_duplicate": sc.Rules.MayDuplicate, "cancelling": sc.Rules.MayCancel,
+			"probing": false, "retry_after": sc.Clients.Heed > 0, "max_retry_after_us": us(sc.Clients.MaxRetryAfter), "max_open": limits.MaxOpen,
+			"connect_timeout_us": us(sc.Fleet.Conns.Timeout), "keepalive_us": us(sc.Fleet.Conns.Idle)},
+		"prices": obj{"cross_zone": sc.Rules.CrossSite},
+		"rules": obj{"ask_every_us": us(sc.Discovery.AskEvery), "cold_from": sc.Rules.ColdFrom, "ramp_time_us": us(sc.Rules.ColdRamp),
+			"overload_factor": sc.Rules.ColdMultiple, "fall_us": us(sc.Rules.ColdWindow), "drain_grace_us": us(sc.Rules.DrainGrace),
+			"grace_to_answer_us": us(sc.Rules.AnswerGrace)},
+	}
+	if sc.Discovery.Ask {
+		settings["discovery"] = "ask"
+	}
+	fields := []string{}
+	if sc.Fleet.Report.Every > 0 {
+		fields = append(fields, "utilization", "backlog")
+		if sc.Fleet.Report.Held {
+			fields = append(fields, "outstanding")
+		}
+	}
+	settings["report"] = obj{"fields": fields, "how": "piggyback"}
+	var profiles, orgs []obj
+	scopes := map[string]string{"": "all", "all": "all", "site": "zone", "rack": "cell"}
+	for _, c := range sc.Classes {
+		profiles = append(profiles, obj{"name": c.Name, "aim_us": us(c.Aim), "deadline_us": us(c.Deadline), "effect": c.Effect,
+			"key_scope": scopes[c.Scope], "window_us": us(c.Window), "late_share": c.LateShare, "credit": c.Worth})
+	}
+	shares := 0.0
+	for _, t := range sc.Tenants {
+		shares += t.Share
+	}
+	for _, t := range sc.Tenants {
+		orgs = append(orgs, obj{"name": t.Name, "share": t.Share / shares})
+	}
+	settings["profiles"], settings["orgs"] = profiles, orgs
+	known := answer{All: true, Targets: []target{}}
+	w.ask(func() {
+		var lines []line
+		lines, known.Rev = w.list(node, -1)
+		for _, l := range lines {
+			known.Targets = append(known.Targets, w.targetOf(node, l))
+		}
+	})
+	return json.MarshalIndent(obj{"name": fmt.Sprintf("n%d", node), "listen": w.opts.Nodes[node], "discovery": w.Discovery(node),
+		"seed":   fmt.Sprintf("%016x", w.opts.Seed*31+uint64(node)+1),
+		"limits": obj{"cores": limits.Cores, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
+		"known":  known, "settings": settings}, "", "  ")
+}
+
+// NodeLimits are what a node may use.
+type NodeLimits struct {
+	Cores             float64
+	MemoryMB, Sockets int
+	MaxOpen           int
+}
+
+// UsualLimits are those of the platform's scored days.
+var UsualLimits = NodeLimits{Cores: 1, MemoryMB: 192, Sockets: 1024, MaxOpen: 20000}
+
+// FreeAddrs finds loopback addresses that nothing listens on.
+func FreeAddrs(n int) ([]string, error) {
+	var lns []net.Listener
+	defer func() {
+		for _, ln := range lns {
+			ln.Close()
+		}
+	}()
+	var addrs []string
+	for range n {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		lns, addrs = append(lns, ln), append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
+
+// Processes are node processes that a world starts, kills as its faults say, and ends.
+type Processes struct {
+	program string
+	dir     string
+	world   *World
+	limits  NodeLimits
+
+	mu   sync.Mutex
+	cmds []*exec.Cmd
+	logs []*os.File
+	down []int // faults that keep it dead
+	end  bool
+	wg   sync.WaitGroup
+}
+
+// StartNodes starts a process of the program for each of the world's nodes. Configurations and logs are left in dir.
+func (w *World) StartNodes(program, dir string, limits NodeLimits) (*Processes, error) {
+	p := &Processes{program: program, dir: dir, world: w, limits: limits, cmds: make([]*exec.Cmd, len(w.opts.Nodes)),
+		logs: make([]*os.File, len(w.opts.Nodes)), down: make([]int, len(w.opts.Nodes))}
+	for i := range w.opts.Nodes {
+		f, err := os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", i)))
+		if err == nil {
+			p.logs[i] = f
+			err = p.start(i)
+		}
+		if err != nil {
+			return nil, errors.Join(err, p.Stop())
+		}
+	}
+	w.ask(func() { w.procs = p })
+	return p, nil
+}
+
+func (p *Processes) start(i int) error {
+	raw, err := p.world.NodeConfig(i, p.limits)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(p.dir, fmt.Sprintf("node-%d.json", i))
+	if err := os.WriteFile(file, raw, 0o644); err != nil {
+		return err
+	}
+	cmd := exec.Command(p.program, "serve", "--config", file)
+	cmd.Stdout, cmd.Stderr = p.logs[i], p.logs[i]
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("node %d: %w", i, err)
+	}
+	p.mu.Lock()
+	p.cmds[i] = cmd
+	p.mu.Unlock()
+	p.world.log.write(event{At: p.world.now(), What: "node-started", Node: i})
+	return nil
+}
+
+// Pid is the process that serves as a node, 0 while there is none.
+func (p *Processes) Pid(node int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.cmds[node]; c != nil {
+		return c.Process.Pid
+	}
+	return 0
+}
+
+// fault kills the nodes that a fault hits, or starts them again at its end. It is called on the world's goroutine, which
+// must not wait for processes.
+func (p *Processes) fault(f faults.Fault, began bool) {
+	var hit []int
+	switch {
+	case f.Kind == faults.NodeKill:
+		hit = f.Nodes
+	case f.WithNodes:
+		for i := range p.cmds {
+			if p.world.sc.Fleet.Sites[p.world.sc.Site(i)] == f.Site {
+				hit = append(hit, i)
+			}
+		}
+	}
+	if len(hit) == 0 {
+		return
+	}
+	p.wg.Go(func() {
+		for i := range p.cmds {
+			if !slices.Contains(hit, i) {
+				continue
+			}
+			p.mu.Lock()
+			cmd, end := p.cmds[i], p.end
+			p.down[i] += map[bool]int{true: 1, false: -1}[began]
+			dead := p.down[i] > 0
+			if dead {
+				p.cmds[i] = nil
+			}
+			p.mu.Unlock()
+			switch {
+			case end:
+			case dead && cmd != nil:
+				p.world.log.write(event{At: p.world.now(), What: "node-killed", Node: i})
+				_ = cmd.Process.Kill() // it may have ended by itself
+				_ = cmd.Wait()
+			case !dead && cmd == nil:
+				if err := p.start(i); err != nil {
+					p.world.log.write(event{At: p.world.now(), What: "node not started: " + err.Error(), Node: i})
+				}
+			}
+		}
+	})
+}
+
+// Stop ends the processes as the platform does, with SIGTERM, and tells of those that did not end well.
+func (p *Processes) Stop() error {
+	p.mu.Lock()
+	p.end = true
+	cmds := slices.Clone(p.cmds)
+	p.mu.Unlock()
+	p.wg.Wait()
+	var errs []error
+	for i, c := range cmds {
+		if c == nil {
+			continue
+		}
+		_ = c.Process.Signal(syscall.SIGTERM) // it may have ended by itself; Wait tells
+		late := time.AfterFunc(10*time.Second, func() { _ = c.Process.Kill() })
+		if err := c.Wait(); err != nil {
+			errs = append(errs, fmt.Errorf("node %d: %w; see %s", i, err, filepath.Join(p.dir, fmt.Sprintf("node-%d.log", i))))
+		}
+		late.Stop()
+	}
+	for _, f := range p.logs {
+		if f != nil {
+			errs = append(errs, f.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (w *World) targetOf(node int, l line) target {
+	t := target{UID: fmt.Sprintf("box-%d", l.Box), Endpoint: w.boxes[l.Place][node].addr, Zone: w.sc.Fleet.Sites[l.Site],
+		Model: "box", Group: l.Rack, State: phaseNames[l.Phase], Capacity: l.Weight}
+	if l.Started >= 0 {
+		t.BootMs = w.began.UnixMilli() + l.Started/1000
+	}
+	return t
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,376 @@
+// Package standin is the platform's outside as stand-ins on loopback sockets: app boxes, discovery, and a front that
+// shares clients' connections out among nodes. The boxes are those of the lab, driven in real time; faults have the
+// lab's words. It keeps a log of what truly happened, against which nodes and load tools are judged.
+package standin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"tulipglade"
+	"tulipglade/internal/faults"
+	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/lab/world"
+)
+
+// Options say how a World is served.
+type Options struct {
+	Seed uint64
+	// Log takes the event log, JSON lines; nil: none is kept.
+	Log io.Writer
+	// Port is that of every box, each of which has an address of its own for each node; 0: any port.
+	Port int
+	// Nodes are the addresses of the nodes behind the front, by number.
+	Nodes []string
+	// Ready is told when a node is taken in by the front.
+	Ready func(node int)
+}
+
+// ErrNotLoopback is an address that is not within 127.0.0.0/8 or ::1.
+var ErrNotLoopback = errors.New("not a loopback address")
+
+// CheckLoopback refuses every address off loopback: a stand-in must never be reached, nor reach out, over a network.
+func CheckLoopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("%q: %w", addr, err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%q: %w", addr, ErrNotLoopback)
+	}
+	return nil
+}
+
+// World is a running set of stand-ins.
+type World struct {
+	sc      *scenario.Scenario
+	opts    Options
+	began   time.Time
+	posts   chan func()
+	done    chan struct{} // closed as the loop ends
+	stop    context.CancelFunc
+	ctx     context.Context
+	wg      sync.WaitGroup
+	log     *eventLog
+	live    *world.Live
+	boxes   [][]*boxServer // by place and node
+	disc    []*discovery   // by node
+	front   []*front       // by site
+	nodes   []*nodeState
+	faults  map[int]faults.Fault // begun through Order
+	down    int                  // faults that keep discovery down
+	state   []line               // by box; what discovery knows
+	rev     int
+	changed chan struct{} // closed at the next change
+	ledger  *ledger
+	queue   discoveryQueue
+	procs   *Processes // nil: the nodes are not ours
+}
+
+// line is a line of discovery's list, with the version that brought it.
+type line struct {
+	world.Line
+	rev int
+}
+
+// Start serves the scenario until ctx ends or Close is called.
+func Start(ctx context.Context, sc *scenario.Scenario, opts Options) (*World, error) {
+	for i, a := range opts.Nodes {
+		if err := CheckLoopback(a); err != nil {
+			return nil, fmt.Errorf("node %d: %w", i, err)
+		}
+	}
+	w := &World{sc: sc, opts: opts, began: time.Now(), posts: make(chan func(), 1024), done: make(chan struct{}),
+		log: newEventLog(opts.Log), faults: map[int]faults.Fault{}, changed: make(chan struct{}), ledger: newLedger(sc)}
+	w.ctx, w.stop = context.WithCancel(ctx)
+	w.live = world.NewLive(sc, opts.Seed, effects{w})
+	if err := w.listen(); err != nil {
+		w.stop()
+		w.closeListeners()
+		return nil, err
+	}
+	w.wg.Go(w.loop)
+	for _, rows := range w.boxes {
+		for _, b := range rows {
+			w.wg.Go(b.accept)
+		}
+	}
+	for _, d := range w.disc {
+		w.wg.Go(d.serve)
+	}
+	for _, f := range w.front {
+		w.wg.Go(f.accept)
+	}
+	for _, n := range w.nodes {
+		w.wg.Go(n.watch)
+	}
+	return w, nil
+}
+
+// boxIP is the address of a box for a node: its own in 127.0.0.0/8.
+func boxIP(node, place int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+node%128, place/250, 1+place%250)
+}
+
+func (w *World) listen() error {
+	nodes := max(w.sc.Nodes.Count, len(w.opts.Nodes))
+	for place := range w.sc.Fleet.Boxes {
+		var row []*boxServer
+		for node := range nodes {
+			b, err := newBoxServer(w, place, node, fmt.Sprintf("%s:%d", boxIP(node, place), w.opts.Port))
+			if err != nil {
+				return err
+			}
+			row = append(row, b)
+		}
+		w.boxes = append(w.boxes, row)
+	}
+	for node := range nodes {
+		d, err := newDiscovery(w, node)
+		if err != nil {
+			return err
+		}
+		w.disc = append(w.disc, d)
+	}
+	for i, addr := range w.opts.Nodes {
+		w.nodes = append(w.nodes, &nodeState{w: w, index: i, addr: addr})
+	}
+	for site := range w.sc.Fleet.Sites {
+		f, err := newFront(w, site)
+		if err != nil {
+			return err
+		}
+		w.front = append(w.front, f)
+	}
+	return nil
+}
+
+// Since is the time since the start.
+func (w *World) Since() time.Duration { return time.Since(w.began) }
+
+// Discovery is the address of discovery for a node: each has one of its own, by which it is known.
+func (w *World) Discovery(node int) string { return w.disc[node].addr }
+
+// Front is the address at which clients of a site reach its nodes.
+func (w *World) Front(site int) string { return w.front[site].ln.Addr().String() }
+
+// Close ends all that was started.
+func (w *World) Close() error {
+	w.stop()
+	w.closeListeners()
+	w.wg.Wait()
+	return w.log.flush()
+}
+
+func (w *World) closeListeners() {
+	for _, row := range w.boxes {
+		for _, b := range row {
+			b.shut()
+		}
+	}
+	for _, d := range w.disc {
+		d.shut()
+	}
+	for _, f := range w.front {
+		f.shut()
+	}
+}
+
+// post runs f on the world's goroutine, which owns all of its state. It reports false once the world has ended.
+func (w *World) post(f func()) bool {
+	select {
+	case w.posts <- f:
+		return true
+	case <-w.done:
+		return false
+	}
+}
+
+// ask runs f on the world's goroutine and waits for it.
+func (w *World) ask(f func()) bool {
+	ran := make(chan struct{})
+	if !w.post(func() { f(); close(ran) }) {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-w.done:
+		return false
+	}
+}
+
+func (w *World) now() int64 { return time.Since(w.began).Microseconds() }
+
+// loop plays the boxes as time passes and takes what the sockets bring.
+func (w *World) loop() {
+	defer close(w.done)
+	const idle = time.Second
+	timer := time.NewTimer(idle)
+	for {
+		next := w.live.Advance(w.now())
+		timer.Reset(max(0, min(time.Duration(next-w.now())*time.Microsecond, idle)))
+		select {
+		case f := <-w.posts:
+			f()
+		case <-timer.C:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// effects hears what the boxes do, on the world's goroutine.
+type effects struct{ w *World }
+
+func (e effects) Answered(p world.Pending, out tulipglade.Outcome) {
+	c := p.Any.(*exchange)
+	if p.Ran && !c.ran {
+		c.ran = true
+	}
+	c.answer(p, out)
+}
+
+func (e effects) Listed(l world.Line) {
+	w := e.w
+	w.rev++
+	at := slices.IndexFunc(w.state, func(x line) bool { return x.Box == l.Box })
+	if at < 0 {
+		w.state = append(w.state, line{l, w.rev})
+	} else {
+		w.state[at] = line{l, w.rev}
+	}
+	w.log.write(event{At: w.now(), What: "listed", Box: l.Box, Place: l.Place, Phase: phaseNames[l.Phase], Rev: w.rev})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+var phaseNames = map[tulipglade.Phase]string{tulipglade.PhaseReady: "in_service", tulipglade.PhaseDraining: "terminating",
+	tulipglade.PhaseGone: "terminated"}
+
+func (e effects) Began(f faults.Fault) {
+	w := e.w
+	w.log.write(event{At: w.now(), What: "fault-began", Fault: &f})
+	if w.procs != nil {
+		w.procs.fault(f, true)
+	}
+	if f.Kind == faults.ListDown {
+		w.down++
+		for _, d := range w.disc {
+			d.drop()
+		}
+	}
+	w.follow()
+}
+
+func (e effects) Ended(f faults.Fault) {
+	w := e.w
+	w.log.write(event{At: w.now(), What: "fault-ended", Fault: &f})
+	if w.procs != nil {
+		w.procs.fault(f, false)
+	}
+	if f.Kind == faults.ListDown {
+		w.down--
+	}
+	w.follow()
+}
+
+// follow brings every box's sockets in line with what has become of its process and its links.
+func (w *World) follow() {
+	for place, row := range w.boxes {
+		up, silent := w.live.Up(place)
+		for node, b := range row {
+			b.follow(up, silent || w.live.Parted(node, place), w.live.Life(place))
+		}
+	}
+}
+
+// Order begins a fault now. It returns the number by which Lift ends it, and the fault with nothing left open.
+func (w *World) Order(f faults.Fault) (id int, settled faults.Fault, err error) {
+	if err := f.Check("fault", w.sc.Scope(nil, nil)); err != nil {
+		return 0, f, err
+	}
+	if f.Kind == faults.Rolling {
+		return 0, f, fmt.Errorf("fault.kind: %s is for a timeline; order its drains one by one", f.Kind)
+	}
+	ok := w.ask(func() {
+		w.live.Advance(w.now())
+		id, settled = w.live.Begin(f)
+		w.faults[id] = settled
+	})
+	if !ok {
+		return 0, f, net.ErrClosed
+	}
+	return id, settled, nil
+}
+
+// Lift ends a fault that Order began, and tells whether there was one.
+func (w *World) Lift(id int) (was bool) {
+	w.ask(func() {
+		if _, was = w.faults[id]; was {
+			delete(w.faults, id)
+			w.live.Advance(w.now())
+			was = w.live.End(id)
+		}
+	})
+	return was
+}
+
+// Report is what a world has seen so far.
+type Report struct {
+	Seconds     float64     `json:"seconds"`
+	Arrived     int64       `json:"arrived"`     // requests whose last byte came to a box
+	Executions  int64       `json:"executions"`  // that began to run
+	Twice       int64       `json:"twice"`       // of a class that must run once: runs beyond the first of one id
+	AfterDrain  int64       `json:"after_drain"` // requests to a box later than the rule's grace and 50 ms after the node was told
+	Unreadable  int64       `json:"unreadable"`  // requests that were not what PROTOCOL says
+	Connections int64       `json:"connections"` // made to boxes
+	Boxes       []BoxReport `json:"boxes"`
+}
+
+// BoxReport is one address's part of it.
+type BoxReport struct {
+	Place   int   `json:"place"`
+	Arrived int64 `json:"arrived"`
+	Ran     int64 `json:"ran"`
+	Up      bool  `json:"up"`
+}
+
+// Report asks for the figures so far.
+func (w *World) Report() Report {
+	var r Report
+	w.ask(func() {
+		r = w.ledger.report()
+		r.Seconds, r.Executions = w.Since().Seconds(), w.live.Executions()
+		for place := range w.boxes {
+			b := BoxReport{Place: place, Arrived: w.ledger.arrivedAt[place], Ran: w.ledger.ranAt[place]}
+			b.Up, _ = w.live.Up(place)
+			r.Boxes = append(r.Boxes, b)
+		}
+	})
+	return r
+}
+
+// Executions is how often the request of that id has begun to run, while it is remembered.
+func (w *World) Executions(id string) (n int) {
+	w.ask(func() { n = w.ledger.runs[id] })
+	return n
+}
+
+// list is what discovery tells a node: what changed after a version, or all.
+func (w *World) list(node, since int) (lines []line, rev int) {
+	for _, l := range w.state {
+		if l.rev > since && (since >= 0 || l.Phase != tulipglade.PhaseGone) {
+			lines = append(lines, l)
+		}
+	}
+	slices.SortFunc(lines, func(a, b line) int { return cmp.Compare(a.rev, b.rev) })
+	return lines, w.rev
+}
