--- a/internal/clients/arrivals.go
+++ b/internal/clients/arrivals.go
@@ -181,6 +181,7 @@
 		if err != nil {
 			return Call{}, err
 		}
+		c.At = des.Time(float64(c.At) / s.sc.Load.Speed)
 		if float64(c.At) >= s.sc.Seconds*1e6 {
 			return Call{}, errors.Join(io.EOF, s.trace.Close())
 		}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -172,6 +172,10 @@
 			t.Errorf("%s: %+v", name, calls)
 		}
 	}
+	fast := all(t, scene(t, "seconds = 5.0\n[load]\nshape = 'trace'\ntrace_speed = 3.0\ntrace = '"+trace(t, "t", text)+"'"))
+	if len(fast) != 4 || fast[1].At != 500 || fast[3].At != 3000000 {
+		t.Errorf("three times as fast: %+v", fast)
+	}
 	for in, says := range map[string]string{
 		"0 0 0 0":              ":1: key: ",
 		"0 0 x 0 1":            ":1: tenant: ",
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -123,9 +123,10 @@
 	Peak     float64 `toml:"peak"`   // of a surge, a ramp or steps: times the level
 	From     float64 `toml:"from_s"` // surge: when it rises at once, and when it is over
 	Till     float64 `toml:"till_s"`
-	Trace    string  `toml:"trace"`     // of a trace: a file of lines "µs class tenant site key"
-	SiteSkew float64 `toml:"site_skew"` // 0: sites alike; else the first has that much more than the mean, the last less
-	Keys     int     `toml:"keys"`      // distinct ones; 0: none
+	Trace    string  `toml:"trace"`       // of a trace: a file of lines "µs class tenant site key"
+	Speed    float64 `toml:"trace_speed"` // of a trace: times as fast as it was recorded
+	SiteSkew float64 `toml:"site_skew"`   // 0: sites alike; else the first has that much more than the mean, the last less
+	Keys     int     `toml:"keys"`        // distinct ones; 0: none
 	Zipf     float64 `toml:"key_zipf"`
 }
 
@@ -229,7 +230,7 @@
 			Report:    Report{Every: 1000, Delay: 200, Noise: 0.05},
 			Conns:     Connections{PerCore: 750, Rtts: 2, Work: 1500, Idle: 30000, Timeout: 250}},
 		Nodes: Nodes{Count: 3, Tick: 5, Notice: 1500},
-		Load:  Load{Level: 0.6, Shape: "steady", Keys: 300, Zipf: 0.8, SiteSkew: 0.3, Period: 20, Swing: 0.1, Peak: 2},
+		Load:  Load{Speed: 1, Level: 0.6, Shape: "steady", Keys: 300, Zipf: 0.8, SiteSkew: 0.3, Period: 20, Swing: 0.1, Peak: 2},
 		Clients: Clients{Retries: 2, TryShare: 0.6, Backoff: 200, Growth: 2, Jitter: 0.5, Heed: 0.8, MaxRetryAfter: 2000,
 			Impatient: 0.01},
 		Net: Net{Same: 0.25, Cross: 5, Client: 0.7, Jitter: 0.2, Peer: Range{1, 30}, Silent: 500},
@@ -356,7 +357,7 @@
 		within("fleet.connections.timeout_ms", s.Fleet.Conns.Timeout, 1, 1e6),
 		within("load.level", s.Load.Level, 0, 100), within("load.per_s", s.Load.PerS, 0, 1e7),
 		within("load.swing", s.Load.Swing, 0, 1), within("load.wave_s", s.Load.Period, 0.1, day),
-		within("load.peak", s.Load.Peak, 0, 1000), within("load.site_skew", s.Load.SiteSkew, 0, 1),
+		within("load.peak", s.Load.Peak, 0, 1000), within("load.trace_speed", s.Load.Speed, 1e-3, 1e3), within("load.site_skew", s.Load.SiteSkew, 0, 1),
 		within("load.keys", float64(s.Load.Keys), 0, 1e7), within("load.key_zipf", s.Load.Zipf, 0, 10),
 		within("clients.retries", float64(s.Clients.Retries), 0, 100), within("clients.try_share", s.Clients.TryShare, 0.01, 1),
 		within("clients.backoff_ms", s.Clients.Backoff, 0, 1e6), within("clients.backoff_growth", s.Clients.Growth, 1, 100),
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -241,6 +241,23 @@
 	}
 }
 
+// Ten times and more what any core can send: every call is accounted for, and the run does not count.
+func TestStarvedOfProcessor(t *testing.T) {
+	null, err := standin.StartNull("127.0.0.1:0", nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer null.Close()
+	text := strings.Replace(strings.Replace(quick, "per_s = 200.0", "per_s = 500000.0", 1), "seconds = 1.0", "seconds = 0.3", 1)
+	r := run(t, text, null.Addr(), func(p *Plan) { p.Conns, p.Lag = 256, time.Millisecond })
+	if r.Valid || r.Calls < 145_000 || r.Sent != r.Calls {
+		t.Errorf("valid %v: %v; %d calls, %d sent", r.Valid, r.Invalid, r.Calls, r.Sent)
+	}
+	if r.Until["served"].P50 <= 0 && r.Until["timed-out"].P50 < 100 {
+		t.Errorf("%+v", r.Until)
+	}
+}
+
 func TestOnlyLoopback(t *testing.T) {
 	for _, addr := range []string{"10.0.0.1:80", "192.168.1.1:80", "example.org:80", "127.0.0.1", "0.0.0.0:80", ":80"} {
 		if _, err := Run(t.Context(), Plan{Scenario: scene(t, quick), Targets: []string{addr}}); err == nil || !strings.HasPrefix(err.Error(), "target ") {
