--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -89,6 +89,20 @@
 			if err := os.WriteFile(file, whole[:cut], 0o644); err != nil {
 				t.Fatal(err)
 			}
+			// Cut short a second time right after it has gone on: what was torn must not spoil what follows.
+			if ctx, stop := context.WithCancel(t.Context()); cut > len(lines[0])+len(lines[1]) && cut < len(whole) {
+				if _, err := RunAll(ctx, cells, hash, file, func(int, int) { stop() }); err != nil && !errors.Is(err, context.Canceled) {
+					t.Fatalf("cut short again: %v", err)
+				}
+				if _, err := ReadRows(file); err != nil {
+					t.Fatal(err)
+				}
+				if err := os.WriteFile(file, whole[:cut], 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				stop()
+			}
 			kept, played := max(bytes.Count(whole[:cut], []byte("\n"))-1, 0), 0
 			if _, err := RunAll(t.Context(), cells, hash, file, func(int, int) { played++ }); err != nil {
 				t.Fatal(err)
