Count every run at the stand-ins as it begins, also where the node has given up

Need: the world counted a run with its answer. Where a node had closed its connection before, there was no answer, so the run was not counted, and a second run of what must run once could go unseen: the very thing the world is there to see.

Change: boxes tell of a run as it begins (Effects.Ran), and the ledger counts it there. Dead code found on reading the change again is gone: a worst check, an interface, a rate and a count that nothing used.

Measured: a ride-start given up twice while its box stands still counts as two runs and one second run; before, as none.

--- a/internal/clients/arrivals.go
+++ b/internal/clients/arrivals.go
@@ -102,9 +102,6 @@
 	return work / shares
 }
 
-// PerS is the rate at level 1, in calls a second.
-func (s *Schedule) PerS() float64 { return s.perUs * 1e6 }
-
 func cumulate(weights []float64) []float64 {
 	sum, cum := 0.0, make([]float64, len(weights))
 	for i, x := range weights {
--- a/internal/lab/des/des.go
+++ b/internal/lab/des/des.go
@@ -197,6 +197,3 @@
 	r := math.Sqrt(2 * d.Exp())
 	return r * math.Cos(2*math.Pi*d.Float64())
 }
-
-// Floater is what both kinds of stream can do.
-type Floater interface{ Float64() float64 }
--- a/internal/lab/experiment/verify.go
+++ b/internal/lab/experiment/verify.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -139,14 +138,3 @@
 	}
 	return m
 }
-
-// Worst is the check with the largest error.
-func Worst(checks []Check) Check {
-	var worst Check
-	for _, c := range checks {
-		if cmp.Compare(math.Abs(c.Error), math.Abs(worst.Error)) > 0 {
-			worst = c
-		}
-	}
-	return worst
-}
--- a/internal/lab/world/box.go
+++ b/internal/lab/world/box.go
@@ -335,6 +335,9 @@
 		a.work *= 1 - b.w.sc.Fleet.Affinity.Gain
 	}
 	b.w.rec.executions++
+	if b.w.ran != nil {
+		b.w.ran(a)
+	}
 	a.due = b.attained + a.work
 	heap.Push(&b.heap, a)
 }
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -48,7 +48,7 @@
 	retry  *clients.Retry
 	next   clients.Call
 	only   map[int]bool
-	second int64     // in which quotaLeft holds
+	second int64     // in which left holds
 	left   []float64 // of each tenant's quota in that second
 }
 
@@ -94,7 +94,6 @@
 	case clientLeaves:
 		if r := e.P.(*request); r.call.current == r && !r.call.ended {
 			c.w.sim.After(&c.src, c.w.clientDelay(&c.rand, r.call.Site, r.node.site), des.Event{To: r.node, Kind: nodeLeft, P: r})
-			c.w.rec.left++
 			c.finish(now, r.call, outcomeGone)
 		}
 	default:
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -26,6 +26,8 @@
 // Effects is who hears of what a Live does. Calls come from within Advance and the other methods, and must not call
 // back.
 type Effects interface {
+	// Ran is an attempt that begins to run, whether or not anybody still waits for it.
+	Ran(pending any)
 	// Answered is the end of an attempt at its box; Reset is a connection to be broken.
 	Answered(p Pending, out tulipglade.Outcome)
 	// Listed is a line of the list, as discovery learns of it.
@@ -100,6 +102,7 @@
 	w.rec = newRecorder(w)
 	w.disc = &discovery{w: w, src: des.NewSource(sourceDiscovery), rand: des.NewStream(seed, "discovery")}
 	l := &Live{w: w, out: out}
+	w.ran = func(a *attempt) { out.Ran(a.pending) }
 	for place := range sc.Fleet.Boxes {
 		b := w.newBox(place, tulipglade.HostID(place+1), "box")
 		w.boxes, w.byID[b.id] = append(w.boxes, b), b
@@ -216,7 +219,7 @@
 // Capacity is what the fleet can do, in µs of work for each µs.
 func (l *Live) Capacity() float64 { return l.w.capacity }
 
-// Executions counts what has begun to run; SecondRuns what did so again although it must not.
+// Executions counts what has begun to run.
 func (l *Live) Executions() int64 { return l.w.rec.executions }
 
 // Arrive hands an attempt to the box at its address.
--- a/internal/lab/world/result.go
+++ b/internal/lab/world/result.go
@@ -121,7 +121,6 @@
 	dials      int64
 	probes     int64
 	datagrams  int64
-	left       int64
 	callsMade  int64 // to discovery
 }
 
--- a/internal/lab/world/station.go
+++ b/internal/lab/world/station.go
@@ -89,7 +89,7 @@
 	return out
 }
 
-// stationDone marks the end of a job; the arrivals use clientNext.
+// Handle takes arrivals, and the ends of jobs.
 func (st *station) Handle(now des.Time, e des.Event) {
 	if e.P != nil {
 		st.ended(now, e.P.(*attempt), tulipglade.Outcome(e.A))
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -46,6 +46,7 @@
 	sc       *scenario.Scenario
 	seed     uint64
 	make     policy.Maker
+	ran      func(*attempt)    // hears of every run as it begins, if it is set
 	perm     func(n int) []int // the order in which components are created
 	sim      des.Sim
 	end      des.Time // of arrivals
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -207,7 +207,6 @@
 	class   int
 	box     int
 	pending world.Pending
-	ran     bool
 	ended   bool
 	answers chan []byte // what to write; nil: reset the connection
 }
@@ -424,11 +423,6 @@
 	x.ended = true
 	x.c.out = nil
 	w := x.c.b.w
-	if p.Ran {
-		if w.ledger.ran(x.id, x.class, x.c.b.place) {
-			w.log.write(event{At: w.now(), What: "ran-twice", ID: x.id, Node: x.c.b.node, Box: x.box, Place: x.c.b.place})
-		}
-	}
 	w.log.write(event{At: w.now(), What: "answered", ID: x.id, Node: x.c.b.node, Box: x.box, Place: x.c.b.place, Outcome: outcomeNames[out],
 		Ran: p.Ran})
 	x.answers <- w.response(x, p, out)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -233,12 +233,17 @@
 
 func (e effects) Answered(p world.Pending, out tulipglade.Outcome) {
 	c := p.Any.(*exchange)
-	if p.Ran && !c.ran {
-		c.ran = true
-	}
 	c.answer(p, out)
 }
 
+// Ran counts a run as it begins: a node that gives up an attempt hears of no end, but the attempt has run.
+func (e effects) Ran(pending any) {
+	x, w := pending.(*exchange), e.w
+	if w.ledger.ran(x.id, x.class, x.c.b.place) {
+		w.log.write(event{At: w.now(), What: "ran-twice", ID: x.id, Node: x.c.b.node, Box: x.box, Place: x.c.b.place})
+	}
+}
+
 func (e effects) Listed(l world.Line) {
 	w := e.w
 	w.rev++
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -289,14 +289,26 @@
 			t.Errorf("a reset after the request: it ran %d times", n)
 		}
 		order(t, w, faults.Fault{Kind: faults.Freeze, Boxes: []int{2}})
+		// A node that gives up what has begun: it has run all the same, and a repeat is a second run.
+		for want := 1; want <= 2; want++ {
+			c := dial(t, w.boxAddr(2, 0))
+			c.send("/start", "given up", "")
+			for w.Executions("given up") < want {
+				time.Sleep(time.Millisecond)
+			}
+			c.c.Close()
+		}
+		if n := w.Report().Twice; n != 1 {
+			t.Errorf("%d second runs counted, want 1", n)
+		}
 		full, before := 0, w.Report().Arrived
-		for i := range int64(30) { // 8 slots and 16 places to wait
+		for i := range int64(28) { // 8 slots, of which 2 are taken, and 16 places to wait
 			c := dial(t, w.boxAddr(2, 0))
 			c.send("/start", fmt.Sprint("f", i), "")
 			for w.Report().Arrived < before+i+1 { // one after the other
 				time.Sleep(time.Millisecond)
 			}
-			if i >= 24 {
+			if i >= 22 {
 				if r := c.want(503); r.Header.Get("X-Never-Ran") == "1" {
 					full++
 				}
