Answer operators at a second address, and take a drain back: /status, /standby, /active

Without it no upgrade goes on (the platform waits for the new process's yes), a standby is not heard, and the second process ended at the address in use.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -21,6 +21,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Operator  string // where operators call; empty: nowhere
 	Cores     float64
 	MemoryMB  int
 	Known     protocol.List
@@ -28,7 +29,7 @@
 }
 
 // Load reads the configuration file and checks it. Listen and discovery may be given in the environment
-// instead, as GW_LISTEN and GW_DISCOVERY; so may the name, as GW_NAME. An error names the field at fault.
+// instead, as GW_LISTEN, GW_DISCOVERY and GW_OPERATOR; so may the name, as GW_NAME. An error names the field at fault.
 func Load(path string, getenv func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -51,6 +52,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Operator  string `json:"operator"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -65,8 +67,11 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	c := &Config{Name: or(in.Name, getenv("GW_NAME")), Listen: or(in.Listen, getenv("GW_LISTEN")),
-		Discovery: or(in.Discovery, getenv("GW_DISCOVERY")), Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB}
-	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		Discovery: or(in.Discovery, getenv("GW_DISCOVERY")), Operator: or(in.Operator, getenv("GW_OPERATOR")), Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB}
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
+		if a.field == "operator" && a.addr == "" {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"tulipglade/internal/node"
+	"tulipglade/internal/operator"
 )
 
 // drainGrace is how long after SIGTERM new requests still come and count: 0.7 s, and the slack of all limits.
@@ -76,6 +77,7 @@
 	}{
 		{"name", old.Name != c.Name},
 		{"listen", old.Listen != c.Listen},
+		{"operator", old.Operator != c.Operator},
 		{"limits", old.Cores != c.Cores || old.MemoryMB != c.MemoryMB || old.Node.Sockets != c.Node.Sockets},
 		{"settings", !reflect.DeepEqual(was, is)},
 	} {
@@ -105,7 +107,7 @@
 		return err
 	}
 	w.to = n
-	ln, err := node.Listen(c.Listen)
+	ln, err := node.Listen(c.Listen, c.Operator != "")
 	if err != nil {
 		return err
 	}
@@ -121,6 +123,15 @@
 	}()
 	failed := make(chan error, 1)
 	go func() { failed <- loop.Serve(ln) }()
+	at := ""
+	if c.Operator != "" {
+		calls, err := operator.Listen(c.Operator, n, log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = calls.Close() }()
+		at = calls.Addr().String()
+	}
 	go func() { // beside the rest, so also while the node drains
 		for running := c; ; {
 			select {
@@ -131,7 +142,7 @@
 			}
 		}
 	}()
-	log.Info("serving", "name", c.Name, "listen", ln.Addr().String(), "discovery", c.Discovery,
+	log.Info("serving", "name", c.Name, "listen", ln.Addr().String(), "discovery", c.Discovery, "operator", at,
 		"backends", len(c.Known.Targets), "sockets", set.Sockets, "memory_mb", c.MemoryMB)
 	select {
 	case err := <-failed:
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"container/list"
 	"context"
 	"fmt"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"tulipglade/internal/protocol"
 )
@@ -57,11 +57,16 @@
 	return syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 }
 
-// Listen opens the listener that Serve's event loop is for.
-func Listen(addr string) (netpoll.Listener, error) {
+// Listen opens the listener that Serve's event loop is for. Shared lets another process listen there too, as in an
+// upgrade.
+func Listen(addr string, shared bool) (netpoll.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
-		if e := raw.Control(func(fd uintptr) { err = boundReceive(fd) }); e != nil {
+		if e := raw.Control(func(fd uintptr) {
+			if err = boundReceive(fd); err == nil && shared {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}
+		}); e != nil {
 			return e
 		}
 		return err
@@ -255,16 +260,20 @@
 	}
 	msg := c.msg
 	c.msg, c.continued = protocol.Message{}, false
-	path, _, _ := bytes.Cut(msg.Target, []byte("?"))
-	if string(path) == "/ready" {
+	if string(msg.Path()) == "/ready" {
 		buf.release()
-		if c.n.draining || !c.n.listed {
+		if c.n.drain.on || !c.n.listed {
 			c.reply(nil, 503, nil, []byte("not ready\n"), 0)
 		} else {
 			c.reply(nil, 200, nil, []byte("ready\n"), 0)
 		}
 		return
 	}
+	if c.n.drain.late { // long after the call to leave: nobody may be held
+		c.last = true
+		c.reply(buf, 503, nil, []byte("not in service\n"), 0)
+		return
+	}
 	r, status, why := c.n.admit(&msg, buf, at)
 	if r == nil {
 		// A client that asks for what it must not have loses its connection. (And what answers a HEAD has no body:
@@ -300,7 +309,7 @@
 		held.release()
 		return
 	}
-	c.last = c.last || c.n.draining
+	c.last = c.last || c.n.drain.on
 	c.writing = true
 	c.n.writing++
 	head := newBuffer()
@@ -316,8 +325,6 @@
 			c.n.at(c.n.now()+lingerFor, c.close)
 		case err != nil || c.last:
 			c.close()
-		case c.n.draining && c.in == nil && c.unread() == 0: // the drain began after this answer did
-			c.close()
 		default:
 			c.setIdle(true)
 			c.advance(c.n.now())
@@ -364,16 +371,3 @@
 	}
 	return nil
 }
-
-// closeIdleClients closes the connections that hold nothing, not even a part of a request.
-func (n *Node) closeIdleClients() {
-	for _, l := range []*list.List{&n.fresh, &n.idleClients} {
-		for e := l.Front(); e != nil; {
-			c := e.Value.(*client)
-			e = e.Next()
-			if c.in == nil && c.unread() == 0 {
-				c.close()
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"container/list"
+	"errors"
+	"time"
+)
+
+// A node leaves in one way, whoever asks it to: an operator's standby, which /active takes back, or the end of the
+// process. Clients are sent away; what has been taken is answered.
+const (
+	// drainCloses is when idle connections close, in microseconds from the call. Until then each answer closes its own:
+	// a close that crosses a request turns that back, and the front sends new connections for 0.3 s.
+	drainCloses = 500_000
+	// drainRefuses is when requests that still come are refused: 4 s after the call no client may be held, nor one whose
+	// request came in the last 2 s of these.
+	drainRefuses = 1_500_000
+	// drainEvery is how often connections are looked at from then on.
+	drainEvery = 100_000
+	// drainPartly bounds the wait, at a stop, for requests that are still coming in.
+	drainPartly = 2_000_000
+)
+
+// drain is where a node stands on its way out of service.
+type drain struct {
+	on       bool  // /ready says no, and each answer closes its connection
+	late     bool  // what still comes is refused
+	stopping bool  // the process ends; otherwise it is a standby
+	since    int64 // when it began
+	turn     int   // counts drains: the timers of an earlier one do nothing
+	partly   int64 // until when a stop waits for what is coming in
+	drained  func()
+}
+
+// What an operator can be told.
+var (
+	errNoList   = errors.New("no backend has been named yet")
+	errStopping = errors.New("the process is stopping")
+)
+
+// Status tells whether this process can serve: it has been told of a backend, and is not about to end. That it is in
+// standby does not count.
+func (n *Node) Status(reply func(error)) {
+	n.ask(func() {
+		switch {
+		case n.drain.stopping:
+			reply(errStopping)
+		case !n.listed:
+			reply(errNoList)
+		default:
+			reply(nil)
+		}
+	})
+}
+
+// Standby sends clients away until Active. Where the node is on its way out already, nothing changes.
+func (n *Node) Standby(reply func(error)) {
+	n.ask(func() {
+		n.leave("standby")
+		reply(nil)
+	})
+}
+
+// Active takes a standby back, at any point of it. A stop can't be taken back.
+func (n *Node) Active(reply func(error)) {
+	n.ask(func() {
+		if n.drain.stopping {
+			reply(errStopping)
+			return
+		}
+		if n.drain.on {
+			n.drain = drain{turn: n.drain.turn}
+			n.log.Info("active", "open", n.open, "clients", len(n.clients))
+		}
+		reply(nil)
+	})
+}
+
+// Drain makes the node leave for good: as Standby does, and after grace done is called as soon as all that was taken
+// has been answered.
+func (n *Node) Drain(grace time.Duration, done func()) {
+	n.ask(func() {
+		if n.drain.stopping {
+			return
+		}
+		n.leave("draining")
+		n.drain.stopping = true
+		now := n.now()
+		n.drain.partly = now + drainPartly
+		n.at(max(now+grace.Microseconds(), n.drain.since+drainCloses), func() { n.drain.drained = done })
+	})
+}
+
+// leave begins a drain, if none is on.
+func (n *Node) leave(why string) {
+	if n.drain.on {
+		return
+	}
+	n.log.Info(why, "open", n.open, "clients", len(n.clients))
+	turn := n.drain.turn + 1
+	n.drain = drain{on: true, since: n.now(), turn: turn}
+	n.at(n.drain.since+drainCloses, func() { n.sendAway(turn) })
+}
+
+// sendAway closes what is idle, again and again until the drain is over.
+func (n *Node) sendAway(turn int) {
+	if !n.drain.on || n.drain.turn != turn {
+		return
+	}
+	now := n.now()
+	n.drain.late = now-n.drain.since >= drainRefuses
+	n.closeIdleClients()
+	n.at(now+drainEvery, func() { n.sendAway(turn) })
+}
+
+// closeIdleClients closes the connections that hold nothing, not even a part of a request, but for new ones that are
+// about to ask.
+func (n *Node) closeIdleClients() {
+	for _, l := range []*list.List{&n.fresh, &n.idleClients} {
+		for e := l.Front(); e != nil; {
+			c := e.Value.(*client)
+			e = e.Next()
+			fresh := !c.asked && n.now()-c.since < drainCloses && !n.drain.late
+			if !fresh && c.in == nil && c.unread() == 0 && c.clean() {
+				c.close()
+			}
+		}
+	}
+}
+
+func (n *Node) checkDrained() {
+	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || n.now() < n.drain.partly && n.comingIn() {
+		return
+	}
+	done := n.drain.drained
+	n.drain.drained = nil
+	done()
+}
+
+// comingIn tells whether a part of a request has come from a client.
+func (n *Node) comingIn() bool {
+	for c := range n.clients {
+		if !c.lingering && (c.in != nil || c.unread() > 0) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 
 	mu     sync.Mutex
 	posted []func()
+	asked  []func() // by operators: these come before what is posted
+	urgent atomic.Bool
 	wake   chan struct{}
 
 	unseen atomic.Int32 // connections accepted of which Run's goroutine has not heard
@@ -80,8 +82,7 @@
 	idleMost, idleMostTill  int64 // what learnIdle found, and for how long it holds
 	descriptors             int
 	listed                  bool // at least one backend has been named
-	draining                bool
-	drained                 func()
+	drain                   drain
 }
 
 // New returns a Node that has not started. Run must be called before anything else has an effect.
@@ -123,6 +124,33 @@
 	}
 }
 
+// ask hands f to Run's goroutine ahead of all that is posted: what clients cause must not hold up an operator.
+func (n *Node) ask(f func()) {
+	n.mu.Lock()
+	n.asked = append(n.asked, f)
+	n.mu.Unlock()
+	n.urgent.Store(true)
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// answerAsked runs what operators have asked for.
+func (n *Node) answerAsked() {
+	if !n.urgent.Swap(false) {
+		return
+	}
+	n.mu.Lock()
+	asked := n.asked
+	n.asked = nil
+	n.mu.Unlock()
+	for _, f := range asked {
+		f()
+		n.settleLater()
+	}
+}
+
 // Run serves until stop is closed.
 func (n *Node) Run(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
@@ -133,7 +161,9 @@
 		n.mu.Lock()
 		batch, n.posted = n.posted, batch[:0]
 		n.mu.Unlock()
+		n.answerAsked()
 		for i, f := range batch {
+			n.answerAsked()
 			f()
 			n.settleLater()
 			batch[i] = nil
@@ -141,7 +171,7 @@
 		next := n.fire()
 		n.checkDrained()
 		n.mu.Lock()
-		more := len(n.posted) > 0
+		more := len(n.posted)+len(n.asked) > 0
 		n.mu.Unlock()
 		if more {
 			continue
@@ -200,6 +230,7 @@
 // to no delay would otherwise keep every request and answer out.
 func (n *Node) fire() time.Duration {
 	for now := n.now(); len(n.timers) > 0 && n.timers[0].at <= now; {
+		n.answerAsked()
 		heap.Pop(&n.timers).(timer).f()
 		n.settleLater()
 	}
@@ -243,33 +274,6 @@
 	}
 }
 
-// ---- start and stop ----
-
-// Drain makes the node leave: /ready says so, connections close once they are idle, and after grace done is
-// called as soon as all that was taken has been answered.
-func (n *Node) Drain(grace time.Duration, done func()) {
-	n.post(func() {
-		if n.draining {
-			return
-		}
-		n.draining = true
-		n.log.Info("draining", "open", n.open, "clients", len(n.clients))
-		n.closeIdleClients()
-		n.at(n.now()+grace.Microseconds(), func() {
-			n.closeIdleClients()
-			n.drained = done
-		})
-	})
-}
-
-func (n *Node) checkDrained() {
-	if n.drained != nil && n.open == 0 && n.writing == 0 {
-		done := n.drained
-		n.drained = nil
-		done()
-	}
-}
-
 // ---- discovery ----
 
 // Members is news about the backends. Cached tells that the list may be out of date.
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -53,6 +53,12 @@
 	return nil
 }
 
+// Path is the target of a request up to its query.
+func (h *Head) Path() []byte {
+	path, _, _ := bytes.Cut(h.Target, []byte("?"))
+	return path
+}
+
 // Twice returns the first of the names, in lower case, that more than one field has, or nothing.
 func (h *Head) Twice(names ...string) string {
 	for _, name := range names {
@@ -495,10 +501,14 @@
 		return "OK"
 	case 400:
 		return "Bad Request"
+	case 404:
+		return "Not Found"
 	case 405:
 		return "Method Not Allowed"
 	case 408:
 		return "Request Timeout"
+	case 409:
+		return "Conflict"
 	case 413:
 		return "Content Too Large"
 	case 431:
