--- a/balancer.go
+++ b/balancer.go
@@ -75,7 +75,7 @@
 func (b *Balancer) Request(now Time, a Arrival) {
 	b.now = now
 	c := &b.cfg.Classes[a.Class]
-	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants), deadline: a.Deadline}
+	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants), deadline: a.Deadline, most: b.cfg.MaxAttempts}
 	if b.cfg.WarmKeys {
 		r.key = a.Key
 	}
@@ -462,7 +462,7 @@
 func (b *Balancer) allowed(r *request, h *host) bool {
 	n := len(r.tries)
 	justFailed := n > 0 && r.tries[n-1].host == h && len(b.hosts) > 1
-	if r.done || r.started || b.now >= r.deadline || n >= b.cfg.MaxAttempts || r.open > 0 || justFailed {
+	if r.done || r.started || b.now >= r.deadline || n >= r.most || r.open > 0 || justFailed {
 		return false
 	}
 	// Draining and gone hosts get nothing, from the moment we are told.
@@ -544,7 +544,7 @@
 
 // again decides on a failed request: held for another attempt where one is allowed and can still be in time.
 func (b *Balancer) again(r *request) {
-	if len(r.tries) >= b.cfg.MaxAttempts || b.now >= b.lastStart(r) || !b.mayRepeat(r, nil) {
+	if len(r.tries) >= r.most || b.now >= b.lastStart(r) || !b.mayRepeat(r, nil) {
 		b.end(r)
 	} else {
 		b.hold(r, true)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -870,7 +870,7 @@
 			}
 		}
 		for key := uint64(1); key <= keys; key++ {
-			drawn := g.b.pick(&request{key: key, deadline: g.now + 900*ms}, false)
+			drawn := g.b.pick(&request{key: key, deadline: g.now + 900*ms, most: 1}, false)
 			if len(drawn) != 2 || drawn[0] == drawn[1] {
 				t.Fatalf("key %d: %d drawn", key, len(drawn))
 			}
@@ -1200,3 +1200,64 @@
 		t.Errorf("%d actions alone, %d among others, or not the same", len(alone), len(among))
 	}
 }
+
+func TestOpenRequestsKeepTheirRules(t *testing.T) {
+	// Guards: after new settings, an open request that may have run goes out again as its class's new rules allow, or its
+	// attempts are counted by the new number.
+	cfg := settings()
+	g := start(t, cfg, hosts(6)...)
+	g.request(1, 1, 0) // once
+	g.request(2, 0, 0) // repeatable
+	next := settings()
+	next.MaxAttempts = 1
+	next.Classes = append(next.Classes, Class{Aim: 200 * ms, Deadline: 500 * ms, Effect: Repeatable})
+	learned := g.b.classes[0].mean
+	if err := g.b.Retune(g.now, next, []int{0, 1, 2, 3, 4, 5, 1}, []int{0}); err != nil {
+		t.Fatal(err)
+	}
+	g.settle(1, 0, Reset)
+	wantFinal(t, g, 1, "fail")
+	g.settle(2, 0, Reset)
+	g.run(ms)
+	if len(g.tries[2]) != 2 {
+		t.Errorf("%d attempts by the rules it came under, want a second", len(g.tries[2]))
+	}
+	g.request(3, 6, 0) // what was once may be repeated now, but only 1 attempt is left
+	g.settle(3, 0, Reset)
+	wantFinal(t, g, 3, "decline")
+	if g.b.classes[0].mean != learned {
+		t.Errorf("the mean latency of a class that stayed went from %v to %v", learned, g.b.classes[0].mean)
+	}
+	next.Classes[0].Deadline = 0
+	if err := g.b.Retune(g.now, next, []int{0, 1, 2, 3, 4, 5, 6}, []int{0}); err == nil || g.b.cfg.Classes[0].Deadline == 0 {
+		t.Errorf("unsound settings: %v, deadline %d", err, g.b.cfg.Classes[0].Deadline)
+	}
+}
+
+func TestTenantsComeAndGo(t *testing.T) {
+	// Guards: a tenant that comes finds no room for its counts at the hosts known, one that goes takes those along whose
+	// requests are held.
+	cfg := settings()
+	cfg.Tenants = []Tenant{{Share: 0.5}, {Share: 0.5}}
+	g := start(t, cfg, hosts(2)...)
+	for id := ReqID(1); id <= 60; id++ {
+		g.request(id, 0, int(id)%2)
+	}
+	held := len(g.b.tenants[1].held)
+	if held == 0 {
+		t.Fatal("nothing is held")
+	}
+	cfg.Tenants = []Tenant{{Share: 0.5}, {}, {Share: 0.5}}
+	if err := g.b.Retune(g.now, cfg, []int{0, 1, 2, 3, 4, 5}, []int{0, 1, -1}); err != nil {
+		t.Fatal(err)
+	}
+	for id := ReqID(61); id <= 70; id++ {
+		g.request(id, 0, 2)
+	}
+	g.run(2000 * ms)
+	for id := ReqID(1); id <= 70; id++ {
+		if g.final[id] == "" && len(g.tries[id]) == 0 {
+			t.Errorf("request %d, held as the tenants changed, has no answer and no attempt", id)
+		}
+	}
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -26,6 +27,7 @@
 	MemoryMB  int
 	Known     protocol.List
 	Node      node.Settings
+	tree      any // the file as it stands, which the next one is held against
 }
 
 // Load reads the configuration file and checks it. Listen and discovery may be given in the environment
@@ -40,6 +42,9 @@
 
 // Parse is Load on the file's text.
 func Parse(raw []byte, getenv func(string) string) (*Config, error) {
+	if len(bytes.TrimSpace(bytes.Trim(raw, "\x00"))) == 0 {
+		return nil, errors.New("configuration: empty")
+	}
 	c, err := parse(raw, getenv)
 	if err != nil { // a JSON error quotes the text around it, lines and all
 		return nil, errors.New(strings.Join(strings.Fields(err.Error()), " "))
@@ -66,7 +71,11 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c := &Config{Name: or(in.Name, getenv("GW_NAME")), Listen: or(in.Listen, getenv("GW_LISTEN")),
+	var tree any
+	if err := json.Unmarshal(raw, &tree); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{tree: tree, Name: or(in.Name, getenv("GW_NAME")), Listen: or(in.Listen, getenv("GW_LISTEN")),
 		Discovery: or(in.Discovery, getenv("GW_DISCOVERY")), Operator: or(in.Operator, getenv("GW_OPERATOR")), Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB}
 	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
 		if a.field == "operator" && a.addr == "" {
@@ -105,6 +114,7 @@
 		Classes []named  `json:"profiles"`
 		Zones   []string `json:"zones"`
 		Limits  struct {
+			Attempts       int64 `json:"max_attempts"`
 			MaxOpen        int   `json:"max_open"`
 			ConnectTimeout int64 `json:"connect_timeout_us"`
 			Keepalive      int64 `json:"keepalive_us"`
@@ -120,8 +130,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if s.Limits.ConnectTimeout <= 0 {
-		return nil, fmt.Errorf("settings.limits.connect_timeout_us: %d is not above 0", s.Limits.ConnectTimeout)
+	positive := []struct {
+		field string
+		value int64
+	}{{"limits.connect_timeout_us", s.Limits.ConnectTimeout}, {"limits.max_attempts", s.Limits.Attempts}}
+	for i, class := range module.Classes {
+		at := fmt.Sprintf("profiles[%d]", i)
+		positive = append(positive, struct {
+			field string
+			value int64
+		}{at + ".deadline_us", class.Deadline}, struct {
+			field string
+			value int64
+		}{at + ".aim_us", class.Aim})
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return nil, fmt.Errorf("settings.%s: %d is not above 0", p.field, p.value)
+		}
+	}
+	if s.Limits.MaxOpen < 0 {
+		return nil, fmt.Errorf("settings.limits.max_open: %d is below 0", s.Limits.MaxOpen)
 	}
 	if module.AskDiscovery && module.AskEvery <= 0 {
 		return nil, fmt.Errorf("settings.rules.ask_every_us: %d is not above 0, and discovery must be asked", module.AskEvery)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -49,8 +50,11 @@
 
 // reload takes up a new configuration, and returns the one in force from here on: where the new one is not sound,
 // the old one stays, whole.
-func reload(old *Config, load func() (*Config, error), w *watch, log *slog.Logger) *Config {
+func reload(old *Config, load func() (*Config, error), w *watch, n *node.Node, log *slog.Logger) *Config {
 	c, err := load()
+	if err == nil {
+		err = shape(old.tree, c.tree, "")
+	}
 	if err != nil {
 		log.Error("configuration not taken up", "err", err)
 		return old
@@ -60,17 +64,22 @@
 		log.Warn("changes need a restart", "fields", strings.Join(fields, ","))
 	}
 	w.Move(c.Discovery)
-	running := *old // of the rest, what runs is still the old
-	running.Discovery = c.Discovery
+	running := *c // but for what takes a restart
+	running.Name, running.Listen, running.Operator, running.Known = old.Name, old.Listen, old.Operator, old.Known
+	running.Cores, running.MemoryMB = old.Cores, old.MemoryMB
+	running.Node.Seed, running.Node.Sockets = old.Node.Seed, old.Node.Sockets
+	running.Node.Zones, running.Node.Module.Zone = old.Node.Zones, old.Node.Module.Zone
+	running.Node.Module.AskDiscovery = old.Node.Module.AskDiscovery
+	if !reflect.DeepEqual(old.Node, running.Node) {
+		n.Retune(running.Node)
+	}
 	return &running
 }
 
-// fixed names the fields that differ and that a running node does not change: only discovery is one that it does.
-// The list of backends and the seed are for the start alone: a list in a file is older than what discovery has
-// told since, and would bring back hosts that are gone.
+// fixed names the fields that differ and that a running node does not change. The list of backends and the seed are for
+// the start alone: a list in a file is older than what discovery has told since, and would bring back hosts that are
+// gone.
 func fixed(old, c *Config) (fields []string) {
-	was, is := old.Node, c.Node
-	was.Seed, is.Seed, was.Sockets, is.Sockets = 0, 0, 0, 0
 	for _, f := range []struct {
 		name    string
 		differs bool
@@ -79,7 +88,9 @@
 		{"listen", old.Listen != c.Listen},
 		{"operator", old.Operator != c.Operator},
 		{"limits", old.Cores != c.Cores || old.MemoryMB != c.MemoryMB || old.Node.Sockets != c.Node.Sockets},
-		{"settings", !reflect.DeepEqual(was, is)},
+		{"settings.zones", !slices.Equal(old.Node.Zones, c.Node.Zones)},
+		{"settings.my_zone", old.Node.Module.Zone != c.Node.Module.Zone},
+		{"settings.discovery", old.Node.Module.AskDiscovery != c.Node.Module.AskDiscovery},
 	} {
 		if f.differs {
 			fields = append(fields, f.name)
@@ -89,7 +100,7 @@
 }
 
 // Serve runs a node until ctx ends or a signal to stop comes, and returns once all that was taken has been
-// answered. At SIGHUP it takes up the configuration that load returns then; see apply.
+// answered. At SIGHUP it takes up the configuration that load returns then; see reload.
 func Serve(ctx context.Context, c *Config, load func() (*Config, error), log *slog.Logger) error {
 	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer release()
@@ -136,7 +147,7 @@
 		for running := c; ; {
 			select {
 			case <-hup:
-				running = reload(running, load, w, log)
+				running = reload(running, load, w, n, log)
 			case <-stopped:
 				return
 			}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	jsoniter "github.com/json-iterator/go"
 
 	"tulipglade/internal/protocol"
 )
@@ -52,6 +53,12 @@
 		{`"name":"read",`, ``, "settings.profiles[0].name"},
 		{`{"name":"t","share":1}`, `{"name":"t"},{"name":"t"}`, "settings.orgs[1].name"},
 		{`"connect_timeout_us":250000,`, ``, "settings.limits.connect_timeout_us"},
+		{`"max_attempts":6`, `"max_attempts":0`, "settings.limits.max_attempts"},
+		{`"max_attempts":6`, `"max_attempts":"6"`, "settings"},
+		{`"deadline_us":1500000`, `"deadline_us":-5`, "settings.profiles[0].deadline_us"},
+		{`"deadline_us":1500000`, `"deadline_us":1.5`, "settings"},
+		{`"aim_us":600000,`, ``, "settings.profiles[0].aim_us"},
+		{`"max_open":20000`, `"max_open":-1`, "settings.limits.max_open"},
 		{`"ask_every_us":10000000,`, ``, "settings.rules.ask_every_us"},
 		{`"settings"`, `"other"`, "settings: missing"},
 	} {
@@ -70,6 +77,82 @@
 	}
 }
 
+// A new file must have all that the running one has. One that is cut short at any byte, or lacks any key, is refused;
+// what may be left out, and data, may differ.
+func TestShape(t *testing.T) {
+	none := func(string) string { return "" }
+	old, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	against := func(text string) error {
+		c, err := Parse([]byte(text), none)
+		if err != nil {
+			return err
+		}
+		return shape(old.tree, c.tree, "")
+	}
+	for i := range good {
+		if err := against(good[:i]); err == nil {
+			t.Fatalf("cut after %d bytes: taken", i)
+		}
+	}
+	keys := 0
+	var each func(v any, path string, lacking func(string))
+	each = func(v any, path string, lacking func(string)) {
+		switch v := v.(type) {
+		case map[string]any:
+			for key, value := range v {
+				delete(v, key)
+				lacking(path + "." + key)
+				v[key] = nil
+				lacking(path + "." + key + " null")
+				v[key] = value
+				if path+"."+key != ".known" {
+					each(value, path+"."+key, lacking)
+				}
+			}
+		case []any:
+			for _, e := range v {
+				each(e, path+"[]", lacking)
+			}
+		}
+	}
+	var tree any
+	if err := jsoniter.UnmarshalFromString(good, &tree); err != nil {
+		t.Fatal(err)
+	}
+	each(tree, "", func(path string) {
+		keys++
+		text, err := jsoniter.ConfigCompatibleWithStandardLibrary.MarshalToString(tree)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := against(text); err == nil {
+			t.Errorf("without %s: taken", path)
+		}
+	})
+	if keys < 40 {
+		t.Errorf("only %d keys tried", keys)
+	}
+	for _, c := range []struct{ name, from, to, says string }{
+		{"the same", "", "", ""},
+		{"a class more", `"profiles":[`, `"profiles":[{"name":"new","aim_us":1,"deadline_us":2,"effect":"once"},`, ""},
+		{"a key more", `"tick_us"`, `"other":1,"tick_us"`, ""},
+		{"another list of backends", `{"uid":"a","endpoint":"127.0.0.1:1","az":"z","state":"in_service","capacity_hint":1}`, ``, ""},
+		{"no tenants", `[{"name":"t","share":1}]`, `[]`, "settings.orgs: empty"},
+		{"no classes", `[{"name":"read","aim_us":600000,"deadline_us":1500000,"effect":"repeatable"}]`, `[]`, "settings.profiles"},
+		{"a class without a key", `"profiles":[`, `"profiles":[{"aim_us":1,"deadline_us":2,"effect":"once"},`, "settings.profiles[0].name"},
+		{"another kind", `"zones":["z"]`, `"zones":[1]`, "settings"},
+		{"an object for a number", `"tick_us":5000`, `"tick_us":{}`, "settings"},
+	} {
+		err := against(strings.Replace(good, c.from, c.to, 1))
+		if c.says == "" && err != nil || c.says != "" && (err == nil || !strings.Contains(err.Error(), c.says)) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.says)
+		}
+	}
+}
+
 // heard collects what a watch tells.
 type heard chan string
 
@@ -345,6 +428,8 @@
 	for _, step := range []struct{ file, says string }{
 		{strings.Replace(text, `"cores":1`, `"cores":-1`, 1), "limits.cores"},
 		{strings.Replace(gone, `"n3"`, `"n4"`, 1), "fields=name\n"},
+		{strings.Replace(gone, `"max_attempts":6`, `"max_attempts":2`, 1), "settings taken up"},
+		{"", "configuration: empty"},
 		{gone, "configuration taken up"},
 	} {
 		files <- step.file
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,8 @@
 	"tulipglade/internal/protocol"
 )
 
-// Settings is what a node is told at its start. All times are in microseconds.
+// Settings is what a node is told at its start, and what Retune changes. All times are in microseconds. One that has been
+// taken up is not changed any more: an open request keeps the one that it came under.
 type Settings struct {
 	Module         tulipglade.Config
 	Seed           uint64
@@ -44,7 +45,7 @@
 
 // Node serves requests by the module's decisions.
 type Node struct {
-	set       Settings
+	set       *Settings // in force; classes and tenants in the order of the module's numbers
 	log       *slog.Logger
 	discovery Discovery
 	bal       *tulipglade.Balancer
@@ -88,7 +89,7 @@
 // New returns a Node that has not started. Run must be called before anything else has an effect.
 func New(set Settings, discovery Discovery, log *slog.Logger) (*Node, error) {
 	start := time.Now()
-	n := &Node{set: set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
+	n := &Node{set: &set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
 		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
 		zones: index(set.Zones), requests: map[tulipglade.ReqID]*request{}, byUID: map[string]*host{},
 		hosts: map[tulipglade.HostID]*host{}, warned: map[string]int{},
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -209,9 +209,9 @@
 	b := &backend{n: n, host: h, life: h.life}
 	h.dials++
 	n.descriptors++
-	addr := h.addr
+	addr, within := h.addr, time.Duration(n.set.ConnectTimeout)*time.Microsecond
 	go func() {
-		conn, err := netpoll.DialConnection("tcp", addr, time.Duration(n.set.ConnectTimeout)*time.Microsecond)
+		conn, err := netpoll.DialConnection("tcp", addr, within)
 		if err == nil {
 			b.conn = conn
 			_ = conn.SetWriteTimeout(writeTimeout)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -12,6 +12,7 @@
 // request is one that this node has taken: it gets exactly one answer.
 type request struct {
 	id       tulipglade.ReqID
+	set      *Settings // that it came under
 	msg      *protocol.Message
 	buf      *buffer // msg points into it
 	class    int
@@ -85,7 +86,7 @@
 		return nil, 503, "too many open requests"
 	}
 	n.lastID++
-	return &request{id: n.lastID, msg: msg, buf: buf, class: class, tenant: tenant, deadline: at + wait}, 0, ""
+	return &request{id: n.lastID, set: n.set, msg: msg, buf: buf, class: class, tenant: tenant, deadline: at + wait}, 0, ""
 }
 
 // maxIDs bounds the ids that are remembered.
@@ -194,10 +195,10 @@
 		a.till = min(a.till, now+timeout)
 	}
 	switch {
-	case r.done || now >= r.deadline || len(r.attempts) > max(n.set.Module.MaxAttempts, 1):
+	case r.done || now >= r.deadline || len(r.attempts) > max(r.set.Module.MaxAttempts, 1):
 		n.settle(a, tulipglade.Moot, nil)
 		return
-	case !n.set.Module.MayDuplicate && r.out > 1:
+	case !r.set.Module.MayDuplicate && r.out > 1:
 		n.settle(a, tulipglade.Moot, nil)
 		return
 	case a.till <= now:
--- a/state.go
+++ b/state.go
@@ -55,6 +55,7 @@
 	aimAt, halfAt, deadline Time
 	tries                   []attempt
 	open                    int
+	most                    int // attempts that it may have, by the settings that it came under
 	held, done, started     bool
 	drawn                   []*host // for it, and probed
 	asked, askTill          Time    // when, and how long it waits for the answers, or before the next draw
@@ -188,6 +189,45 @@
 	return nil
 }
 
+// Retune takes up new settings. Requests that are open keep the rules they came under: the classes and tenants they
+// belong to must stay in cfg under their numbers. classes and tenants tell, for each of cfg's, the number of the one whose
+// learning it goes on with, or -1; a tenant's requests go with it, so that number is its own.
+func (b *Balancer) Retune(now Time, cfg Config, classes, tenants []int) error {
+	next := &Balancer{}
+	if err := next.settle(cfg); err != nil {
+		return err
+	}
+	b.now = now
+	for i, old := range classes {
+		if old < 0 {
+			continue
+		}
+		c, was := &next.classes[i], b.classes[old]
+		if next.cfg.Classes[i].Deadline != b.cfg.Classes[old].Deadline { // its steps are parts of the deadline
+			was.patience = c.patience
+		}
+		*c = was
+	}
+	for i, old := range tenants {
+		if old >= 0 {
+			share := next.tenants[i].share
+			next.tenants[i] = b.tenants[old]
+			next.tenants[i].share = share
+		}
+	}
+	for _, h := range b.hosts {
+		per, slots := make([]int, len(next.tenants)), make([]float64, len(next.tenants))
+		copy(per, h.per)
+		copy(slots, h.slots)
+		h.per, h.slots = per, slots
+	}
+	b.cfg, b.classes, b.tenants, b.period = next.cfg, next.classes, next.tenants, next.period
+	b.turns, b.gains, b.blocked = next.turns, next.gains, next.blocked
+	b.control()
+	b.release()
+	return nil
+}
+
 // Config returns the settings in force, defaults filled in.
 func (b *Balancer) Config() Config { return b.cfg }
 
