Pass large bodies and answers through in pieces, as fast as the other side takes them

Ruled out: processor time (0.18 of 0.25), descriptors (183 of 1,024).

Cause: Message bounds bodies at 64 KiB, client.advance and backend.read want a whole message in one buffer, and sweepClients gave a request 2 s for its whole body.

Change: connections whose message is over 64 KiB leave the poller (leave.go) for a flow (flow.go) with one buffer, and come back; upload.go, download.go. A request's time counts from its last byte; its host is not counted as busy before that (Balancer.Loading). The poller waits for what it sets off. again (balancer.go) ends what can't be sent again.

Found by the tests on the way: a reset that the poller had met looked like an end in order; an answer that overtook the word that its request had gone closed the connection; a request behind a large answer was dropped when it did not fit into one buffer.

--- a/balancer.go
+++ b/balancer.go
@@ -544,7 +544,7 @@
 
 // again decides on a failed request: held for another attempt where one is allowed and can still be in time.
 func (b *Balancer) again(r *request) {
-	if len(r.tries) >= r.most || b.now >= b.lastStart(r) || !b.mayRepeat(r, nil) {
+	if r.started || len(r.tries) >= r.most || b.now >= b.lastStart(r) || !b.mayRepeat(r, nil) {
 		b.end(r)
 	} else {
 		b.hold(r, true)
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -157,7 +157,7 @@
 	}
 	c.Node = node.Settings{Module: module, Seed: seed, Zones: s.Zones, MaxOpen: s.Limits.MaxOpen,
 		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Grace: s.Rules.Grace,
-		Sockets: in.Limits.Sockets}
+		Sockets: in.Limits.Sockets, Memory: int64(in.Limits.MemoryMB) << 20}
 	if c.Node.Classes, err = names("settings.profiles", s.Classes); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,8 +15,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"tulipglade/internal/node"
 	"tulipglade/internal/operator"
 )
@@ -44,8 +42,7 @@
 	if c.Node.Sockets > 0 {
 		sockets = min(sockets, c.Node.Sockets)
 	}
-	return sockets, netpoll.Configure(netpoll.Config{PollerNum: 1,
-		LoggerOutput: slog.NewLogLogger(log.Handler(), slog.LevelWarn).Writer()})
+	return sockets, node.ConfigurePoller(slog.NewLogLogger(log.Handler(), slog.LevelWarn).Writer())
 }
 
 // reload takes up a new configuration, and returns the one in force from here on: where the new one is not sound,
--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"context"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -67,16 +71,34 @@
 // poller gives a connection's buffers to others once it has closed, also while somebody still fills them.
 type socket struct {
 	conn  netpoll.Connection
+	file  *os.File // in its place while it has left the poller
 	mu    sync.Mutex
 	ended bool
+	hup   atomic.Bool // the poller has ended it
+	fin   bool        // the other side has closed it in order
+	left  func(*os.File, []byte, error)
 }
 
 // onClose has f called when the connection has closed.
 func (s *socket) onClose(f func()) {
-	_ = s.conn.AddCloseCallback(func(netpoll.Connection) error {
+	if c, ok := s.conn.(interface {
+		SetOnDisconnect(netpoll.OnDisconnect) error
+	}); ok {
+		_ = c.SetOnDisconnect(func(context.Context, netpoll.Connection) { s.hup.Store(true) })
+	}
+	_ = s.conn.AddCloseCallback(func(conn netpoll.Connection) error {
 		s.mu.Lock()
 		s.ended = true
+		left := s.left
+		s.left = nil
 		s.mu.Unlock()
+		if left != nil {
+			behind.Add(-1)
+			left(s.takeOver(conn))
+			return nil
+		}
+		state, known := state(conn)
+		s.fin = known && state == closeWait // only then is what goes on until the end of a connection whole
 		f()
 		return nil
 	})
@@ -85,6 +107,15 @@
 func (s *socket) write(parts [][]byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.file != nil {
+		for _, p := range parts {
+			_ = s.file.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := s.file.Write(p); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	if s.ended {
 		return netpoll.ErrConnClosed
 	}
@@ -97,6 +128,38 @@
 	return w.Flush()
 }
 
+// end closes the connection, wherever it is.
+func (s *socket) end() {
+	if s.file != nil {
+		_ = s.file.Close()
+	} else {
+		_ = s.conn.Close()
+	}
+}
+
+// outside puts a descriptor in the place of the connection that has left the poller, and inside a new connection of the
+// poller's in the place of that.
+func (s *socket) outside(file *os.File) {
+	s.mu.Lock()
+	s.file = file
+	s.mu.Unlock()
+}
+
+func (s *socket) inside(conn netpoll.Connection) {
+	s.mu.Lock()
+	s.conn, s.file, s.ended = conn, nil, false
+	s.mu.Unlock()
+	s.hup.Store(false)
+}
+
+// unread is how many bytes the poller has read that nobody has taken.
+func (s *socket) unread() int {
+	if s.file != nil {
+		return 0
+	}
+	return s.conn.Reader().Len()
+}
+
 // clean tells whether the connection is open and holds no input, also by what the poller has not seen yet.
 func (s *socket) clean() bool {
 	s.mu.Lock() // its descriptor may be another connection's once it has ended
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -36,14 +36,23 @@
 	asked     bool // a whole request has come from it
 	idle      *list.Element
 	idleIn    *list.List // fresh or idleClients
-	since     int64      // when the request that is coming in began, at first the connection
+	more      [][]byte   // came behind what c.in has room for
+	moreSize  int
+	upload    *upload  // the request that is coming in is too large to be held
+	down      *backend // it passes on an answer too large to be held
+	old       bool     // its request came as HTTP/1.0
+	headOnly  bool     // its request is a HEAD: no answer to it has a body
+	headSize  int      // of the body that a backend tells in answer to a HEAD
+	headAt    int64    // when the head of the request that is coming in was whole; 0: it is not
+	since     int64    // when the request that is coming in began, at first the connection
 	idleSince int64
 }
 
 // How long clients may hold on to what they do not use, in microseconds. Whoever cannot or will not ask is due an
 // error or a close within 3 s of connecting; a sweep comes on top of these times.
 const (
-	askWithin  = 2_000_000  // from the connection to the end of its first request, or from the start of a later one
+	askWithin  = 2_200_000  // from the connection to the end of its first head, or from the start of a later one
+	bodyWithin = 1_000_000  // from there to the end of the body, and what that takes at the least rate
 	freshFor   = 500_000    // a new connection is not closed to make room for others unless nothing else is idle
 	idleAtMost = 30_000_000 // between two requests
 	idleLeast  = 2_000_000  // sooner, only connections that are in the way are closed
@@ -83,16 +92,7 @@
 	type key struct{}
 	return netpoll.NewEventLoop(
 		func(ctx context.Context, conn netpoll.Connection) error {
-			c := ctx.Value(key{}).(*client)
-			at := n.now()
-			c.handed.Add(1) // before the bytes leave the reader: whoever looks in between must not find it empty
-			b, err := take(conn)
-			if err != nil {
-				c.handed.Add(-1)
-				return err
-			}
-			n.post(func() { c.receive(b, at) })
-			return nil
+			return ctx.Value(key{}).(*client).input(ctx, conn)
 		},
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
 			c := &client{n: n, socket: socket{conn: conn}, since: n.now()}
@@ -105,6 +105,20 @@
 		}))
 }
 
+// input hands on what the poller has read.
+func (c *client) input(_ context.Context, conn netpoll.Connection) error {
+	at := c.n.now()
+	c.handed.Add(1) // before the bytes leave the reader: whoever looks in between must not find it empty
+	b, err := take(conn)
+	if err != nil {
+		c.handed.Add(-1)
+		return err
+	}
+	behind.Add(1)
+	c.n.post(func() { c.receive(b, at) })
+	return nil
+}
+
 // unseenMost is how many connections may have been accepted that Run's goroutine has not seen. It is well within
 // reserve: at the system's limit of descriptors the poller would not hear of new connections for a while.
 const unseenMost = 8
@@ -162,8 +176,13 @@
 	delete(c.n.clients, c)
 	c.n.descriptors--
 	c.in.release()
-	c.in = nil
-	_ = c.conn.Close()
+	c.in, c.more = nil, nil
+	if c.down != nil {
+		c.n.closeBackend(c.down)
+	}
+	if c.upload == nil || c.file != nil { // else it is on its way out of the poller, and closes as it is there
+		c.end()
+	}
 }
 
 // gone is a connection that has ended.
@@ -179,6 +198,7 @@
 func (c *client) receive(b *buffer, at int64) {
 	defer b.release()
 	c.handed.Add(-1)
+	behind.Add(-1)
 	if c.lingering && !c.closed {
 		if c.dropped += b.n; c.dropped > lingerBytes && !c.writing {
 			c.close()
@@ -187,6 +207,14 @@
 	if c.closed || c.lingering {
 		return
 	}
+	if c.upload != nil {
+		c.upload.early = earlyData(c.upload.early, b.bytes())
+		return
+	}
+	if len(c.more) > 0 {
+		c.keep(b.bytes())
+		return
+	}
 	if c.in == nil {
 		c.in = b.retain()
 		c.begins(at)
@@ -201,15 +229,48 @@
 		}
 		left := len(rest)
 		if rest = c.in.add(rest); len(rest) == left { // full, and the request before is not answered yet
-			c.last = true // what does not fit is dropped, so nothing behind it can be read
+			c.keep(rest)
 			return
 		}
 		c.advance(at)
+		if c.upload != nil {
+			c.upload.early = earlyData(c.upload.early, rest)
+			return
+		}
+	}
+}
+
+// moreMost bounds what is kept of a request while the answer to the one before is on its way.
+const moreMost = lingerBytes
+
+// keep keeps what c.in has no room for. What is too much is dropped, so nothing behind it can be read.
+func (c *client) keep(p []byte) {
+	if c.moreSize += len(p); c.moreSize > moreMost {
+		c.last = true
+		return
+	}
+	c.more = earlyData(c.more, p)
+}
+
+// refill moves what was kept into c.in, as far as there is room.
+func (c *client) refill(at int64) {
+	if len(c.more) > 0 && c.in == nil {
+		c.in = newBuffer()
+		c.begins(at)
+	}
+	for len(c.more) > 0 && c.moreSize <= moreMost {
+		rest := c.in.add(c.more[0])
+		if c.moreSize -= len(c.more[0]) - len(rest); len(rest) > 0 {
+			c.more[0] = rest
+			return
+		}
+		c.more = c.more[1:]
 	}
 }
 
 // begins notes when a request begins to come in. The first has been due since the connection came.
 func (c *client) begins(at int64) {
+	c.headAt = 0
 	if c.asked {
 		c.since = at
 	}
@@ -217,10 +278,17 @@
 
 // advance reads the next request, if all before is answered.
 func (c *client) advance(at int64) {
-	if c.req != nil || c.writing || c.in == nil || c.in.n == 0 || c.closed {
+	if c.req != nil || c.writing || c.closed || c.upload != nil {
+		return
+	}
+	c.refill(at)
+	if c.in == nil || c.in.n == 0 {
 		return
 	}
 	size, whole, err := c.msg.Request(c.in.bytes())
+	if c.headAt == 0 && c.msg.Started() {
+		c.headAt = at
+	}
 	if c.in.n = size; size == 0 { // nothing but empty lines
 		c.in.release()
 		c.in = nil
@@ -234,8 +302,10 @@
 		c.setIdle(false)
 		c.last = c.last || !c.msg.KeepAlive
 		c.request(at)
-	case size == protocol.BufferSize:
-		c.refuse(413, protocol.ErrBodyTooLarge.Error())
+	case c.msg.Started() && (c.msg.Length() > protocol.MaxBody || size == protocol.BufferSize):
+		c.startUpload()
+	case len(c.more) > 0 && size < protocol.BufferSize: // framing was taken out: there is room again
+		c.advance(at)
 	case c.msg.Started() && c.msg.Expect && !c.continued:
 		c.continued, c.writing = true, true
 		c.n.write(&c.socket, func(err error) {
@@ -260,6 +330,8 @@
 	}
 	msg := c.msg
 	c.msg, c.continued = protocol.Message{}, false
+	c.old, c.headOnly = msg.OldVersion(), string(msg.Method) == "HEAD"
+	c.headSize = protocol.UntilClose
 	if string(msg.Path()) == "/ready" {
 		buf.release()
 		if c.n.drain.on || !c.n.listed {
@@ -309,11 +381,17 @@
 		held.release()
 		return
 	}
-	c.last = c.last || c.n.drain.on
+	c.last = c.last || c.n.drain.on || c.upload != nil
 	c.writing = true
 	c.n.writing++
 	head := newBuffer()
-	out := protocol.AppendResponse(head.data[:0], status, fields, len(body), !c.last, retryAfter)
+	size := len(body)
+	if c.headOnly {
+		if body = nil; status == 200 {
+			size = c.headSize
+		}
+	}
+	out := protocol.AppendResponse(head.data[:0], status, fields, size, !c.last, retryAfter)
 	c.n.write(&c.socket, func(err error) {
 		c.n.writing--
 		c.writing = false
@@ -323,6 +401,8 @@
 		case err == nil && c.lingering:
 			c.setIdle(true)
 			c.n.at(c.n.now()+lingerFor, c.close)
+		case err == nil && c.upload != nil && !c.upload.done:
+			c.afterEarly()
 		case err != nil || c.last:
 			c.close()
 		default:
@@ -343,7 +423,8 @@
 			idle := now - c.idleSince
 			switch {
 			case c.writing || c.lingering || c.unread() > 0:
-			case c.in != nil && now-c.since >= askWithin:
+			case c.in != nil && c.headAt == 0 && now-c.since >= askWithin,
+				c.in != nil && c.headAt > 0 && now-c.headAt >= bodyWithin+int64(float64(c.in.n)*1e6/(bodyRate*bodyMargin)):
 				c.refuse(408, "request not complete in time")
 			case c.in != nil:
 			case !c.asked && now-c.since >= askWithin, idle >= idleAtMost:
@@ -357,7 +438,7 @@
 
 // unread is how much has come in that Run's goroutine has not seen, in bytes or pieces. A connection with such
 // input may hold a whole request: it is not idle, and to close it would lose that.
-func (c *client) unread() int { return c.conn.Reader().Len() + int(c.handed.Load()) }
+func (c *client) unread() int { return c.socket.unread() + int(c.handed.Load()) }
 
 // idleClient is the connection in a list that has held no request for the longest time, and at least for so long,
 // or nil.
--- /dev/null
+++ b/internal/node/leave.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// The poller reads whatever has come, and cannot be told to wait. So a connection whose input must wait for somebody
+// else leaves the poller for a descriptor of its own, which is read by blocking calls, and comes back after that.
+
+// leave has the poller give up the connection, and hands on its descriptor with what was read and not taken yet. By then
+// all that was taken has been posted. It returns false where the connection has ended: onClose's f is called as ever.
+func (s *socket) leave(to func(file *os.File, rest []byte, err error)) bool {
+	s.mu.Lock()
+	if s.ended {
+		s.mu.Unlock()
+		return false
+	}
+	s.left = to
+	conn := s.conn
+	s.mu.Unlock()
+	behind.Add(1)
+	go func() { _ = conn.Close() }() // which waits for the poller
+	return true
+}
+
+// takeOver is what onClose does for a connection that leaves. Its own descriptor closes after that. Without a file, the
+// connection has ended, and rest is all that came.
+func (s *socket) takeOver(conn netpoll.Connection) (*os.File, []byte, error) {
+	c, ok := conn.(interface{ Fd() int })
+	if !ok {
+		return nil, nil, errors.New("a connection without a descriptor")
+	}
+	// It is out of the poller's set now, but an event of before may be at hand still. Where the poller itself has ended
+	// the connection, it has done with it (and waits for us).
+	ended := s.hup.Load()
+	if !ended {
+		if err := thePoller.pass(); err != nil {
+			return nil, nil, err
+		}
+	}
+	var rest []byte
+	if n := conn.Reader().Len(); n > 0 {
+		p, err := conn.Reader().Next(n)
+		if err != nil {
+			return nil, nil, err
+		}
+		rest = append(rest, p...)
+	}
+	// The poller may have met a reset, of which the descriptor then says no more: it would look like an end in order.
+	state, known := state(conn)
+	s.fin = known && state == closeWait
+	if ended || known && state != established && state != closeWait {
+		return nil, rest, nil
+	}
+	fd, err := unix.FcntlInt(uintptr(c.Fd()), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("descriptor: %w", err)
+	}
+	return os.NewFile(uintptr(fd), "connection"), rest, nil
+}
+
+// behind counts what the poller has set off and the rest of the node has not seen to: handlers at work, pieces of input on
+// their way to Run's goroutine, connections about to leave.
+var behind atomic.Int64
+
+// behindYields bounds how long the poller waits for that.
+const behindYields = 200
+
+// ConfigurePoller sets up the poller that nodes of this process share: one, which waits a little for what it has set off.
+// It reads whatever is there: left alone, it would take in some MB of a large message before anybody could tell it that
+// nobody wants more for now.
+func ConfigurePoller(log io.Writer) error {
+	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log, Runner: func(_ context.Context, f func()) {
+		behind.Add(1)
+		go func() {
+			defer behind.Add(-1)
+			f()
+		}()
+		for i := 0; i < behindYields && behind.Load() > 0; i++ {
+			runtime.Gosched()
+		}
+	}})
+}
+
+// back returns a connection to the poller. The descriptor belongs to it from here on.
+func back(file *os.File) (netpoll.Connection, error) {
+	raw, err := file.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	fd := -1
+	if e := raw.Control(func(old uintptr) { fd, err = unix.FcntlInt(old, unix.F_DUPFD_CLOEXEC, 0) }); e != nil {
+		err = e
+	}
+	_ = file.Close()
+	if err != nil {
+		return nil, fmt.Errorf("descriptor: %w", err)
+	}
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		_ = unix.Close(fd)
+		return nil, err
+	}
+	return conn, conn.SetWriteTimeout(writeTimeout)
+}
+
+// barrier waits until the poller has done with all events that it had at hand: a byte sent through it comes behind
+// them.
+type barrier struct {
+	mu      sync.Mutex
+	in      *os.File
+	waiting []chan struct{}
+}
+
+// thePoller is the one there is: netpoll keeps one set of pollers for the process, and a node has it keep one.
+var thePoller barrier
+
+// passWithin bounds the wait: a poller that takes longer has hung.
+const passWithin = 2 * time.Second
+
+func (b *barrier) pass() error {
+	through := make(chan struct{})
+	b.mu.Lock()
+	if b.in == nil {
+		if err := b.open(); err != nil {
+			b.mu.Unlock()
+			return err
+		}
+	}
+	b.waiting = append(b.waiting, through)
+	_, err := b.in.Write([]byte{0})
+	b.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	late := time.NewTimer(passWithin)
+	defer late.Stop()
+	select {
+	case <-through:
+		return nil
+	case <-late.C:
+		return errors.New("the poller does not answer")
+	}
+}
+
+// open makes the pipe, when it is first needed.
+func (b *barrier) open() error {
+	var fds [2]int
+	if err := unix.Pipe2(fds[:], unix.O_CLOEXEC|unix.O_NONBLOCK); err != nil {
+		return fmt.Errorf("pipe: %w", err)
+	}
+	conn, err := netpoll.NewFDConnection(fds[0])
+	if err != nil {
+		_, _ = unix.Close(fds[0]), unix.Close(fds[1])
+		return err
+	}
+	b.in = os.NewFile(uintptr(fds[1]), "poller")
+	return conn.SetOnRequest(b.seen)
+}
+
+// seen lets as many go on as bytes have come through.
+func (b *barrier) seen(_ context.Context, conn netpoll.Connection) error {
+	n := conn.Reader().Len()
+	if err := conn.Reader().Skip(n); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, through := range b.waiting[:n] {
+		close(through)
+	}
+	b.waiting = b.waiting[n:]
+	return conn.Reader().Release()
+}
+
+// The kernel's states of a connection that matter here.
+const (
+	established = 1
+	closeWait   = 8 // the other side has closed it in order
+)
+
+// state is that of the connection by the kernel, where it tells.
+func state(conn netpoll.Connection) (state uint8, known bool) {
+	c, ok := conn.(interface{ Fd() int })
+	if !ok {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(c.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return info.State, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	Keepalive      int64 // a backend closes a connection that stood idle so long
 	Grace          int64 // past its deadline, after which a request is overdue
 	Sockets        int   // descriptors of the whole process
+	Memory         int64 // bytes that the process may use; 0: no limit
 }
 
 // Discovery is how a node asks for news about backends. Its methods must not block; what they lead to comes
@@ -70,6 +71,8 @@
 	lastID                  tulipglade.ReqID
 	open                    int // requests taken and not answered
 	writing                 int // answers on their way out
+	flows                   int // large messages on their way through
+	flowQueue               []func()
 	hosts                   map[tulipglade.HostID]*host
 	byUID                   map[string]*host
 	lastHost                tulipglade.HostID
@@ -242,7 +245,7 @@
 }
 
 // sweepEvery is how often idle connections are looked at, in microseconds.
-const sweepEvery = 500_000
+const sweepEvery = 250_000
 
 // sweep looks after the connections that carry nothing. It closes backend connections that stood idle for half the time after which the backend would: a
 // request written to one that is just being closed would end as a reset. Where they break sooner, they close sooner.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -3,7 +3,9 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,10 +37,13 @@
 	att       *attempt
 	in        *buffer
 	msg       protocol.Message
-	up        bool // the pool has it
-	written   bool // the request's last byte is
-	answered  bool // whole, before the writer said that it was done
-	hungUp    bool // the other side has closed while the request was being written
+	up        bool      // the pool has it
+	written   bool      // the request's last byte is
+	large     bool      // its answer is, and waits for the writer
+	answered  bool      // whole, before the writer said that it was done
+	down      *download // it passes on an answer too large to be held
+	kept      []*buffer // what came before the word that all of a large request has gone
+	hungUp    bool      // the other side has closed while the request was being written
 	closed    bool
 	idle      *list.Element
 	idleSince int64
@@ -219,18 +224,22 @@
 				_ = boundReceive(uintptr(c.Fd()))
 			}
 			b.onClose(func() { n.post(b.gone) })
-			err = conn.SetOnRequest(func(_ context.Context, conn netpoll.Connection) error {
-				buf, err := take(conn)
-				if err == nil {
-					n.post(func() { b.receive(buf) })
-				}
-				return err
-			})
+			err = conn.SetOnRequest(b.input)
 		}
 		n.post(func() { n.dialled(b, err) })
 	}()
 }
 
+// input hands on what the poller has read.
+func (b *backend) input(_ context.Context, conn netpoll.Connection) error {
+	buf, err := take(conn)
+	if err == nil {
+		behind.Add(1)
+		b.n.post(func() { b.receive(buf) })
+	}
+	return err
+}
+
 // dialled is a connection that has come up or not. It goes to whoever has waited longest.
 func (n *Node) dialled(b *backend, err error) {
 	h := b.host
@@ -288,45 +297,92 @@
 	}
 }
 
-// send writes an attempt's request.
+// send writes an attempt's request, or as much of it as is held.
 func (n *Node) send(b *backend, a *attempt) {
 	r := a.req
 	a.backend, b.att, b.written = b, a, false
-	b.msg = protocol.Message{}
+	b.msg = protocol.Message{NoBody: string(r.msg.Method) == "HEAD"}
 	head, held := newBuffer(), r.buf.retain()
 	body := r.msg.Body(r.buf.bytes())
-	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, len(body), max((a.till-n.now())/1000, 1))
+	length, wait := len(body), a.till-n.now()
+	if r.upload != nil {
+		length, wait = r.msg.Length(), r.wait
+	}
+	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, length, max(wait/1000, 1))
+	parts := [][]byte{out, body}
+	if length < 0 && len(body) > 0 {
+		parts = [][]byte{append(strconv.AppendInt(out, int64(len(body)), 16), "\r\n"...), body, []byte("\r\n")}
+	}
 	n.write(&b.socket, func(err error) {
 		head.release()
 		held.release()
-		if b.closed {
-			return
-		}
 		switch {
-		case b.answered && err == nil:
-			b.written, b.answered = true, false
-			n.reuse(b)
-		case b.answered:
-			n.closeBackend(b)
-		case err != nil: // not all of the request was written: it has never begun
+		case b.closed:
+		case r.upload != nil && err == nil && !b.answered && !b.hungUp && !r.done:
+			n.pump(b, a)
+		case r.upload != nil: // not all of it was written: it has never begun
 			n.closeBackend(b)
 			n.settle(a, tulipglade.ConnectFailed, nil)
-		case b.hungUp:
-			n.learnIdle(b.idleFor, b.in == nil && n.now()-a.sent < 2*restFor)
-			n.closeBackend(b)
-			n.settle(a, tulipglade.Reset, nil)
 		default:
-			b.written = true
+			n.sent(b, a, err)
+		}
+	}, parts...)
+}
+
+// sent is the end of a request's way to its host.
+func (n *Node) sent(b *backend, a *attempt, err error) {
+	switch {
+	case b.closed:
+	case b.answered && err == nil:
+		b.written, b.answered = true, false
+		n.reuse(b)
+	case b.answered:
+		n.closeBackend(b)
+	case err != nil: // not all of the request was written: it has never begun
+		n.closeBackend(b)
+		n.settle(a, tulipglade.ConnectFailed, nil)
+	case b.hungUp && b.down != nil:
+		b.written = true
+		n.downloadBegins(b, nil, nil, nil)
+	case b.hungUp:
+		n.learnIdle(b.idleFor, b.in == nil && n.now()-a.sent < 2*restFor)
+		n.ended(b, a)
+	default:
+		b.written = true
+		if b.down != nil {
+			b.passOn()
 		}
-	}, out, body)
+	}
+}
+
+// heard takes in what was kept until a large request had gone.
+func (b *backend) heard() {
+	kept, hungUp := b.kept, b.hungUp
+	b.kept, b.hungUp = nil, false
+	for _, buf := range kept {
+		behind.Add(1)
+		b.receive(buf)
+	}
+	if hungUp {
+		b.gone()
+	}
 }
 
 // receive takes in what the host sent.
 func (b *backend) receive(buf *buffer) {
 	defer buf.release()
+	behind.Add(-1)
 	if b.closed {
 		return
 	}
+	if b.down != nil {
+		b.hold(buf.bytes())
+		return
+	}
+	if b.allIn() {
+		b.kept = append(b.kept, buf.retain())
+		return
+	}
 	if b.att == nil { // nothing was asked
 		b.n.closeBackend(b)
 		return
@@ -340,6 +396,25 @@
 	for len(rest) > 0 && b.att != nil && !b.closed {
 		rest = b.in.add(rest)
 		b.read(len(rest))
+		if b.down != nil {
+			b.hold(rest)
+			return
+		}
+	}
+}
+
+// allIn tells that all of a large request has come in and goes out, though Run's goroutine has not heard that it has gone.
+func (b *backend) allIn() bool {
+	return b.att != nil && b.att.till == never && b.att.req.upload.flow.all.Load()
+}
+
+// hold keeps what comes of a large answer before it can be passed on.
+func (b *backend) hold(p []byte) {
+	if err := b.down.hold(p); err != nil {
+		a := b.down.att
+		b.n.warn("bad answer", "host", b.host.addr, "err", err)
+		b.n.closeBackend(b)
+		b.n.settle(a, tulipglade.Reset, nil)
 	}
 }
 
@@ -347,9 +422,8 @@
 func (b *backend) read(more int) {
 	n, a := b.n, b.att
 	size, whole, err := b.msg.Response(b.in.bytes())
-	if b.in.n = size; err == nil && !whole && size == protocol.BufferSize {
-		err = protocol.ErrBodyTooLarge
-	}
+	b.in.n = size
+	large := b.msg.Started() && (b.msg.Length() > protocol.MaxBody || size == protocol.BufferSize)
 	switch {
 	case err != nil:
 		n.warn("bad answer", "host", b.host.addr, "err", err)
@@ -357,7 +431,19 @@
 		n.settle(a, tulipglade.Reset, nil) // it may have run
 	case whole:
 		b.finish(more > 0)
+	case large:
+		b.startDownload()
+	}
+}
+
+// errEarly is a large answer to a request that has not been written: there is no room for it.
+var errEarly = errors.New("a large answer before the end of its request")
+
+func loadReport(msg *protocol.Message) *tulipglade.Report {
+	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
+		return &tulipglade.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
 	}
+	return nil
 }
 
 // finish is a whole answer.
@@ -375,12 +461,15 @@
 	default:
 		b.answered = true
 	}
-	var report *tulipglade.Report
-	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
-		report = &tulipglade.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
-	}
+	report := loadReport(&msg)
 	out := outcome(&msg)
 	if out == tulipglade.OK {
+		if msg.NoBody && a.req.client != nil {
+			a.req.client.headSize = max(msg.Length(), protocol.UntilClose)
+			if msg.Length() < 0 {
+				a.req.client.headSize = protocol.UntilClose
+			}
+		}
 		n.answer(a.req, in.retain(), 200, msg.Fields, msg.Body(in.bytes()), 0)
 	}
 	n.settle(a, out, report)
@@ -392,17 +481,33 @@
 	n, a := b.n, b.att
 	switch {
 	case b.closed || !b.up: // dialled will see it
+	case b.down != nil && !b.down.held:
+		n.downloadBegins(b, nil, nil, nil)
 	case a == nil:
 		n.closeBackend(b)
+	case !b.written && a.till == never && !b.allIn(): // the request was still coming in, and will never be whole
+		n.closeBackend(b)
+		n.settle(a, tulipglade.ConnectFailed, nil)
 	case !b.written:
 		b.hungUp = true // whether all was written decides what this means
 	default:
 		n.learnIdle(b.idleFor, b.in == nil && n.now()-a.sent < 2*restFor)
-		n.closeBackend(b)
-		n.settle(a, tulipglade.Reset, nil)
+		n.ended(b, a)
 	}
 }
 
+// ended is a connection whose end may be that of the answer on it: where the head does not say how long that is.
+func (n *Node) ended(b *backend, a *attempt) {
+	if b.in != nil && b.msg.UntilEnd() && b.fin {
+		b.msg.Finish()
+		b.msg.KeepAlive, b.written = false, true
+		b.finish(false)
+		return
+	}
+	n.closeBackend(b)
+	n.settle(a, tulipglade.Reset, nil)
+}
+
 // closeBackend ends a connection. An attempt on it must be settled by the caller.
 func (n *Node) closeBackend(b *backend) {
 	if b.closed {
@@ -414,7 +519,13 @@
 	b.att = nil
 	b.in.release()
 	b.in = nil
-	_ = b.conn.Close()
+	for _, buf := range b.kept {
+		buf.release()
+	}
+	b.kept = nil
+	if b.down == nil || b.down.held || b.file != nil { // else it is on its way out of the poller, and closes as it is there
+		b.end()
+	}
 }
 
 func (n *Node) closeIdleBackends(h *host) {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -18,6 +18,8 @@
 	class    int
 	tenant   int
 	deadline int64
+	wait     int64   // from its last byte to the deadline, where that is still to come
+	upload   *upload // it is passed on while it comes in
 	client   *client
 	attempts []*attempt
 	out      int  // attempts without an outcome
@@ -39,7 +41,7 @@
 // before the module hears of the request.
 func (n *Node) admit(msg *protocol.Message, buf *buffer, at int64) (r *request, status int, why string) {
 	switch string(msg.Method) {
-	case "HEAD", "CONNECT", "TRACE", "OPTIONS":
+	case "CONNECT", "TRACE", "OPTIONS":
 		return nil, 405, "method not allowed"
 	}
 	if f := msg.Twice("x-trace-id", "x-qos", "x-customer", "x-expires-in-ms", "idempotency-key"); f != "" {
@@ -98,18 +100,29 @@
 	n.requests[r.id] = r
 	id, trace := r.id, string(r.msg.Get("x-trace-id"))
 	n.ids[trace] = struct{}{}
-	n.at(r.deadline+n.set.Grace, func() {
-		delete(n.ids, trace)
-		if r := n.requests[id]; r != nil && !r.done { // the module owed an answer by now; the client must not wait for ever
-			n.log.Error("request overdue", "id", r.id, "attempts", len(r.attempts))
-			n.answer(r, nil, 504, nil, []byte("overdue\n"), 0)
-			n.bal.Gone(n.now(), r.id)
-		}
-	})
+	n.at(r.deadline+n.set.Grace, func() { n.overdue(id, trace) })
 	n.bal.Request(n.now(), tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
 		Key: protocol.Subject(r.msg.Target), Repeat: string(r.msg.Get("x-second-try")) == "1"})
 }
 
+// overdue ends what is left of a request after its time.
+func (n *Node) overdue(id tulipglade.ReqID, trace string) {
+	r := n.requests[id]
+	if r != nil && r.upload != nil && !r.done && n.now() < r.deadline { // its time begins, or began, with its last byte
+		n.at(min(r.deadline, n.now()+overdueEvery)+n.set.Grace, func() { n.overdue(id, trace) })
+		return
+	}
+	delete(n.ids, trace)
+	if r != nil && !r.done { // the module owed an answer by now; the client must not wait for ever
+		n.log.Error("request overdue", "id", r.id, "attempts", len(r.attempts))
+		n.answer(r, nil, 504, nil, []byte("overdue\n"), 0)
+		n.bal.Gone(n.now(), r.id)
+	}
+}
+
+// overdueEvery is how often a request that is still coming in is looked at, in microseconds.
+const overdueEvery = 1_000_000
+
 // answer gives a request its one answer.
 func (n *Node) answer(r *request, held *buffer, status int, fields []protocol.Field, body []byte, retry int64) {
 	if n.end(r) {
@@ -167,6 +180,9 @@
 	a.over = true
 	s := tulipglade.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
 		Took: n.now() - a.sent, Report: report}
+	if a.till == never { // it had not all been sent: that took its client's time, not the host's
+		s.Took = 0
+	}
 	n.later = append(n.later, func() {
 		a.req.out--
 		s.Closed = a.req.done
@@ -205,14 +221,17 @@
 		n.settle(a, tulipglade.TimedOut, nil)
 		return
 	}
-	n.at(a.till, func() {
-		if !a.over {
-			n.giveUp(a, tulipglade.TimedOut)
-		}
-	})
+	n.at(a.till, func() { n.late(a) })
 	n.connect(a)
 }
 
+// late gives up an attempt whose time has passed.
+func (n *Node) late(a *attempt) {
+	if !a.over && n.now() >= a.till {
+		n.giveUp(a, tulipglade.TimedOut)
+	}
+}
+
 // giveUp ends an attempt that is still out. What never had a connection has never run.
 func (n *Node) giveUp(a *attempt, outcome tulipglade.Outcome) {
 	if b := a.backend; b != nil {
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -17,7 +17,7 @@
 // another, as those of its requests that are open keep the old rules; numbers that only open requests have stay as they are.
 func (n *Node) retune(set Settings) {
 	old := n.set
-	set.Sockets, set.Seed = old.Sockets, old.Seed
+	set.Sockets, set.Memory, set.Seed = old.Sockets, old.Memory, old.Seed
 	usedClasses, usedTenants := make([]bool, len(old.Classes)), make([]bool, len(old.Tenants))
 	for _, r := range n.requests {
 		usedClasses[r.class] = true
--- a/state.go
+++ b/state.go
@@ -57,6 +57,7 @@
 	open                    int
 	most                    int // attempts that it may have, by the settings that it came under
 	held, done, started     bool
+	loading                 bool    // its attempt is out, and not at work yet
 	drawn                   []*host // for it, and probed
 	asked, askTill          Time    // when, and how long it waits for the answers, or before the next draw
 }
@@ -308,6 +309,26 @@
 	}
 }
 
+// Loading tells that a request's one attempt has begun to go out while the request is still coming in, and later that all
+// of it has gone: in between its host has no work with it, and no deadline counts. It can't be sent again, and how long its
+// answer may take is the gateway's to say.
+func (b *Balancer) Loading(now Time, id ReqID, on bool) {
+	b.now = now
+	r := b.reqs[id]
+	if r == nil || r.open == 0 || r.loading == on {
+		return
+	}
+	r.started, r.loading = true, on
+	h, n := r.tries[len(r.tries)-1].host, 1
+	if on {
+		n = -1
+	} else if h.out.n == 0 { // from here on it owes an answer
+		h.answered = now
+	}
+	b.count(r, h, n)
+	b.release()
+}
+
 // Peer is a message of another gateway. None is sent, so none is heeded.
 func (b *Balancer) Peer(now Time, from int, data []byte) { b.now = now }
 
@@ -478,6 +499,15 @@
 	b.tenants[r.tenant].served += float64(s.Took)
 	b.observe(h, s.Report)
 	r.open += n
+	if r.loading { // it was not counted
+		r.loading = false
+	} else {
+		b.count(r, h, n)
+	}
+}
+
+// count has an attempt at work, or no longer.
+func (b *Balancer) count(r *request, h *host, n int) {
 	h.out.add(b.now, n, b.limitOf(h), b.horizon(b.limitOf(h)))
 	h.per[r.tenant] += n
 	t := &b.tenants[r.tenant]
