Hand the listening socket and what was learned to the process that takes one's place

Need: at an upgrade two processes are one node to rules and limits; with SO_REUSEPORT alone each has a queue, and what waits in the old one's as it closes is reset. The new one knew nothing that the old one had learned, and both spent a cold host's whole budget.

SO_REUSEPORT remains where nothing is handed over.

Cut at any byte, damaged, another version, silent: the new process starts on its own.

--- a/balancer.go
+++ b/balancer.go
@@ -569,7 +569,7 @@
 	if warmth == 1 || b.cfg.ColdMultiple <= 0 || b.cfg.ColdWindow <= 0 {
 		return true
 	}
-	rate := max(b.rate, 2/float64(b.period)/b.sharers) * warmth * b.cfg.ColdMultiple * coldPart
+	rate := max(b.rate, 2/float64(b.period)/b.sharers) * warmth * b.cfg.ColdMultiple * coldPart / b.shared
 	h.tokens = min(h.tokens+rate*float64(b.now-h.tokensAt), 1+rate*coldBurst*float64(b.cfg.ColdWindow))
 	h.tokensAt = b.now
 	return h.tokens >= 1
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1261,3 +1261,49 @@
 		}
 	}
 }
+
+func TestAnotherProcessTakesOver(t *testing.T) {
+	// Guards: a process that takes the place of another begins with nothing learned, or both spend the whole budget of a
+	// cold host; and what makes no sense spoils nothing.
+	cfg := settings()
+	list := hosts(4)
+	list[3].Started = 1e9 - 1000*ms
+	g := start(t, cfg, list...)
+	for id := ReqID(1); id < 200; id++ {
+		g.request(id, 0, 0)
+		g.settle(id, 0, OK)
+		g.run(5 * ms)
+	}
+	g.b.byID[1].bad, g.b.byID[1].limit = 0.3, 17
+	before := g.b.byID[4].tokens
+	m := g.b.Export()
+	if now := g.b.byID[4].tokens; now != before/2 || m.Hosts[4].Tokens != before/2 {
+		t.Errorf("of %v tokens one has %v and the other %v", before, now, m.Hosts[4].Tokens)
+	}
+	next := startSeed(t, 8, cfg, list...)
+	next.b.Import(next.now, m)
+	if h := next.b.byID[1]; h.bad != 0.3 || h.limit != 17 || next.b.classes[0].mean != g.b.classes[0].mean || next.b.rate != g.b.rate {
+		t.Errorf("bad %v, limit %v, mean %v, rate %v", h.bad, h.limit, next.b.classes[0].mean, next.b.rate)
+	}
+	alone := startSeed(t, 9, cfg, list...)
+	alone.b.Import(alone.now, m)
+	next.b.Share(2)
+	alone.run(500 * ms)
+	next.now = alone.now
+	for _, g := range []*gateway{alone, next} {
+		g.b.now = g.now
+		g.b.coldRoom(g.b.byID[4])
+	}
+	if a, b := alone.b.byID[4].tokens-before/2, next.b.byID[4].tokens-before/2; a <= 0 || math.Abs(b/a-0.5) > 0.01 {
+		t.Errorf("one process has earned %v, one of two %v", a, b)
+	}
+	odd := m
+	odd.Hosts = map[uint64]HostMemory{1: {Limit: math.NaN(), Bad: 7}, 2: {Limit: -1}, 9: {Limit: 5}}
+	odd.Classes, odd.Rate = []ClassMemory{{0, 0}}, math.Inf(1)
+	third := startSeed(t, 10, cfg, list...)
+	limit := third.b.byID[1].limit
+	third.b.Import(third.now, odd)
+	if third.b.byID[1].limit != limit || third.b.byID[2].limit <= 0 || third.b.rate != 0 {
+		t.Errorf("limits %v and %v, rate %v", third.b.byID[1].limit, third.b.byID[2].limit, third.b.rate)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"os/signal"
 	"reflect"
 	"runtime"
-	"runtime/debug"
 	"slices"
 	"strings"
 	"syscall"
@@ -31,9 +30,7 @@
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	}
-	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
-	}
+	memory(c.MemoryMB, 1)
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return 0, fmt.Errorf("limit of descriptors: %w", err)
@@ -109,37 +106,63 @@
 	if set.Sockets, err = limit(c, log); err != nil {
 		return err
 	}
-	w := newWatch(c.Discovery, c.Known.Rev)
+	known := c.Known
+	path := offerPath(c, log)
+	var old *taken
+	if path != "" {
+		if old = takeOver(path, log); old != nil && old.List.Rev >= known.Rev && len(old.List.Targets) > 0 {
+			known = old.List
+		}
+		if old != nil {
+			defer func() { _ = old.Close() }()
+		}
+	}
+	w := newWatch(c.Discovery, known.Rev)
 	n, err := node.New(set, w, log)
 	if err != nil {
 		return err
 	}
 	w.to = n
-	ln, err := node.Listen(c.Listen, c.Operator != "")
+	at := ""
+	if c.Operator != "" { // before any client is taken: should this fail, an older process serves on
+		calls, err := operator.Listen(c.Operator, n, log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = calls.Close() }()
+		at = calls.Addr().String()
+	}
+	ln, err := listen(c, old)
 	if err != nil {
 		return err
 	}
+	gate := &node.Gate{Listener: ln}
 	loop, err := n.Serve()
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
-	n.Members(c.Known, true)
+	n.Members(known, true)
+	if old != nil {
+		n.Import(old.Handed)
+	}
+	with := &shares{n: n, mb: c.MemoryMB}
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		n.Run(stop)
 		close(stopped)
 	}()
 	failed := make(chan error, 1)
-	go func() { failed <- loop.Serve(ln) }()
-	at := ""
-	if c.Operator != "" {
-		calls, err := operator.Listen(c.Operator, n, log)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = calls.Close() }()
-		at = calls.Addr().String()
-	}
+	go func() { failed <- loop.Serve(gate) }()
+	if old != nil {
+		with.add(1)
+		old.Serve(func() {
+			with.add(-1)
+			log.Info("the older process has ended")
+		})
+	}
+	g := &giver{n: n, gate: gate, with: with, log: log}
+	withdraw := offer(path, g, log)
+	defer withdraw()
 	go func() { // beside the rest, so also while the node drains
 		for running := c; ; {
 			select {
@@ -151,13 +174,14 @@
 		}
 	}()
 	log.Info("serving", "name", c.Name, "listen", ln.Addr().String(), "discovery", c.Discovery, "operator", at,
-		"backends", len(c.Known.Targets), "sockets", set.Sockets, "memory_mb", c.MemoryMB)
+		"backends", len(known.Targets), "sockets", set.Sockets, "memory_mb", c.MemoryMB)
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 		log.Info("stopping")
 	}
+	g.stop()
 	drained := make(chan struct{})
 	n.Drain(drainGrace, func() { close(drained) })
 	select {
--- /dev/null
+++ b/internal/daemon/upgrade.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"github.com/cloudwego/netpoll"
+
+	"tulipglade/internal/handover"
+	"tulipglade/internal/node"
+)
+
+// memory has the collector work harder before memory runs out; so many processes share what one may use.
+func memory(mb, processes int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4 / int64(processes))
+	}
+}
+
+// shares counts the processes that are this node.
+type shares struct {
+	n  *node.Node
+	mb int
+
+	mu     sync.Mutex
+	others int
+}
+
+// add counts one that comes, or one that goes.
+func (s *shares) add(others int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others += others
+	s.n.Share(s.others + 1)
+	memory(s.mb, s.others+1)
+}
+
+// taken is what an older process has handed over.
+type taken struct {
+	*handover.Taken
+	node.Handed
+	ln netpoll.Listener
+}
+
+// takeOver asks an older process of this node for its place. Where there is none, or it does not answer, this one starts
+// on its own.
+func takeOver(path string, log *slog.Logger) *taken {
+	t, err := handover.Take(path)
+	if err != nil {
+		log.Info("nothing taken over", "err", err)
+		return nil
+	}
+	got := &taken{Taken: t}
+	err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(t.Body, &got.Handed)
+	t.Body = nil
+	if err == nil {
+		var ln net.Listener
+		if ln, err = net.FileListener(t.Listener); err == nil {
+			got.ln, err = netpoll.ConvertListener(ln)
+		}
+	}
+	_ = t.Listener.Close()
+	if err != nil {
+		log.Warn("nothing taken over", "err", err)
+		_ = t.Close()
+		return nil
+	}
+	log.Info("taken over", "rev", got.List.Rev, "backends", len(got.List.Targets), "open", len(got.IDs))
+	return got
+}
+
+// giver hands this process's place to a newer one.
+type giver struct {
+	n    *node.Node
+	gate *node.Gate
+	with *shares
+	log  *slog.Logger
+
+	mu       sync.Mutex
+	next     bool // a newer process accepts
+	stopping bool
+}
+
+// Give is the Offer's.
+func (g *giver) Give() ([]byte, *os.File, error) {
+	answer := make(chan node.Handed, 1)
+	g.n.Export(func(h node.Handed) { answer <- h })
+	var h node.Handed
+	select {
+	case h = <-answer:
+	case <-time.After(handover.Within):
+		return nil, nil, errors.New("the node did not answer in time")
+	}
+	body, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(h)
+	fd := -1
+	if err == nil {
+		fd, err = syscall.Dup(g.gate.Fd())
+	}
+	if err != nil {
+		g.log.Warn("not handed over", "err", err)
+		return nil, nil, err
+	}
+	g.with.add(1)
+	g.log.Info("handed over", "rev", h.List.Rev, "backends", len(h.List.Targets), "open", len(h.IDs), "bytes", len(body))
+	return body, os.NewFile(uintptr(fd), "listener"), nil
+}
+
+// Serving is the Offer's: what comes now finds the newer process, as this one leaves.
+func (g *giver) Serving() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next = true
+	if g.stopping {
+		g.gate.Shut()
+	}
+}
+
+// Gone is the Offer's.
+func (g *giver) Gone() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping && g.next {
+		return // nobody accepts any more, and this process is about to end
+	}
+	g.next = false
+	g.with.add(-1)
+	g.log.Info("the newer process has ended")
+}
+
+// stop tells that this process leaves: it accepts no more if another does.
+func (g *giver) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+	if g.next {
+		g.gate.Shut()
+	}
+}
+
+// listen opens the clients' address, or takes over the socket of an older process.
+func listen(c *Config, t *taken) (netpoll.Listener, error) {
+	if t != nil {
+		return t.ln, nil
+	}
+	return node.Listen(c.Listen, c.Operator != "")
+}
+
+// offerPath is where processes of this node meet, or nothing: only those that an operator can call are upgraded.
+func offerPath(c *Config, log *slog.Logger) string {
+	if c.Operator == "" {
+		return ""
+	}
+	path, err := handover.Path(os.Getenv("TMPDIR"), c.Name, c.Listen)
+	if err != nil {
+		log.Warn("no hand-over", "err", err)
+	}
+	return path
+}
+
+// offer has this process hand its place over when a newer one asks.
+func offer(path string, g *giver, log *slog.Logger) func() {
+	if path == "" {
+		return func() {}
+	}
+	o, err := handover.NewOffer(path, g)
+	if err != nil {
+		log.Warn("no hand-over", "err", fmt.Errorf("%s: %w", path, err))
+		return func() {}
+	}
+	return func() { _ = o.Close() }
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -154,7 +154,7 @@
 			c.idleIn = &c.n.idleClients
 		}
 		c.idle, c.idleSince = c.idleIn.PushBack(c), c.n.now()
-		if most := c.n.set.Sockets / idleShare; c.asked && most > 0 && c.idleIn.Len() > most {
+		if most := c.n.sockets() / idleShare; c.asked && most > 0 && c.idleIn.Len() > most {
 			if oldest := c.n.idleClient(c.idleIn, 0); oldest != nil && oldest != c {
 				oldest.close()
 			}
@@ -429,7 +429,7 @@
 			case c.in != nil:
 			case !c.asked && now-c.since >= askWithin, idle >= idleAtMost:
 				c.close()
-			case c.asked && idle >= idleLeast && n.set.Sockets > 0 && len(n.clients) > n.set.Sockets/3:
+			case c.asked && idle >= idleLeast && n.sockets() > 0 && len(n.clients) > n.sockets()/3:
 				c.close() // more than clients need for their requests, silent ones counted
 			}
 		}
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+
+	"github.com/cloudwego/netpoll"
+
+	"tulipglade"
+	"tulipglade/internal/protocol"
+)
+
+// Handed is what one process of a node gives the next: together they are one node to hosts and clients.
+type Handed struct {
+	List    protocol.List
+	Classes []string // those that Learned speaks of, in its order
+	Tenants []string
+	Learned tulipglade.Memory
+	IDs     map[string]int64 // of requests that may be running, and until when, on the clock that both have
+}
+
+// idsHanded bounds the ids that are handed over.
+const idsHanded = 1 << 12
+
+// Export hands on what this node has, and with it half of what is left of cold hosts' budgets.
+func (n *Node) Export(to func(Handed)) {
+	n.post(func() { // behind the list that a process starts with
+		h := Handed{List: protocol.List{Rev: n.rev, All: true}, Classes: n.set.Classes, Tenants: n.set.Tenants, IDs: map[string]int64{}}
+		for uid, host := range n.byUID {
+			if host.goneAt == 0 {
+				h.List.Targets = append(h.List.Targets, host.target(uid))
+			}
+		}
+		for _, r := range n.requests {
+			if till := min(r.deadline, n.now()+r.set.Module.Classes[r.class].Deadline); len(h.IDs) < idsHanded && r.msg != nil {
+				h.IDs[string(r.msg.Get("x-trace-id"))] = till
+			}
+		}
+		h.Learned = n.bal.Export()
+		to(h)
+	})
+}
+
+// target is a host as discovery has told of it.
+func (h *host) target(uid string) protocol.Target {
+	return protocol.Target{UID: uid, Endpoint: h.addr, Zone: h.zone, Cell: h.cell, State: h.state, Weight: h.weight, BootMs: h.boot}
+}
+
+// Import takes up what an older process of this node has learned, of the hosts that it has been told of.
+func (n *Node) Import(h Handed) {
+	n.post(func() {
+		if equal(h.Classes, n.set.Classes) && equal(h.Tenants, n.set.Tenants) {
+			n.bal.Import(n.now(), h.Learned)
+		} else { // of hosts alone: the settings are others by now
+			h.Learned.Classes, h.Learned.Tenants = nil, nil
+			n.bal.Import(n.now(), h.Learned)
+		}
+		for id, till := range h.IDs {
+			if _, held := n.ids[id]; held || till < n.now() || len(n.ids) >= maxIDs {
+				continue
+			}
+			n.ids[id] = struct{}{}
+			n.at(min(till, n.now()+idsMost), func() { delete(n.ids, id) })
+		}
+	})
+}
+
+// idsMost is for how long an id that was handed over is kept at most, in microseconds.
+const idsMost = 60_000_000
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Share tells how many processes are this node: each has its part of the descriptors, of the memory for large messages,
+// and of the cold hosts' budgets.
+func (n *Node) Share(processes int) {
+	n.ask(func() {
+		n.shared = processes
+		n.bal.Share(processes)
+		n.makeRoom(0)
+	})
+}
+
+// sockets is how many descriptors this process may hold; 0: any.
+func (n *Node) sockets() int {
+	return max(n.set.Sockets/max(n.shared, 1), min(n.set.Sockets, reserve+leastRoom))
+}
+
+// leastRoom is what is left to serve with, however few descriptors processes share.
+const leastRoom = 16
+
+// Gate is a listener that can stop accepting while its queue stays: another process accepts from it.
+type Gate struct {
+	netpoll.Listener
+	shut atomic.Bool
+}
+
+// errShut has netpoll take the listener out of its poller: it goes by that word.
+var errShut = errors.New("listener closed: another process accepts")
+
+// Accept is netpoll's.
+func (g *Gate) Accept() (net.Conn, error) {
+	if g.shut.Load() {
+		return nil, errShut
+	}
+	return g.Listener.Accept()
+}
+
+// Shut ends accepting.
+func (g *Gate) Shut() { g.shut.Store(true) }
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -80,7 +80,15 @@
 // ConfigurePoller sets up the poller that nodes of this process share: one, which waits a little for what it has set off.
 // It reads whatever is there: left alone, it would take in some MB of a large message before anybody could tell it that
 // nobody wants more for now.
-func ConfigurePoller(log io.Writer) error {
+func ConfigurePoller(log io.Writer) (err error) {
+	configured.Do(func() { err = configurePoller(log) })
+	return err
+}
+
+// configured is once for each process: the poller is running after that.
+var configured sync.Once
+
+func configurePoller(log io.Writer) error {
 	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log, Runner: func(_ context.Context, f func()) {
 		behind.Add(1)
 		go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	descriptors             int
 	listed                  bool // at least one backend has been named
 	drain                   drain
+	shared                  int // processes that are this node; 0: one
 }
 
 // New returns a Node that has not started. Run must be called before anything else has an effect.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -21,6 +21,9 @@
 	addr    string
 	state   protocol.State
 	boot    int64
+	zone    string // as discovery tells it, with the next two
+	cell    int
+	weight  float64
 	goneAt  int64 // when discovery said so, or left it off a whole list; 0: it is listed
 	life    int   // counts its processes: a connection to an earlier one is never used again
 	idle    []*backend
@@ -85,7 +88,7 @@
 		case t.State == protocol.Terminating: // it gets nothing new
 			n.closeIdleBackends(h)
 		}
-		h.boot = t.BootMs
+		h.boot, h.zone, h.cell, h.weight = t.BootMs, t.Zone, t.Cell, t.Weight
 		zone, ok := n.zones[t.Zone]
 		if !ok {
 			zone = -1
@@ -537,7 +540,7 @@
 // makeRoom closes idle connections until so many more descriptors fit, and tells whether they do. Those that clients
 // do not use go first: a new connection to a backend costs it work, and its first request time.
 func (n *Node) makeRoom(more int) bool {
-	for n.set.Sockets > 0 && n.descriptors+more > n.set.Sockets-reserve {
+	for most := n.sockets(); most > 0 && n.descriptors+more > most-reserve; {
 		if c := n.idleClient(&n.fresh, freshFor); c != nil {
 			c.close()
 		} else if c := n.idleClient(&n.idleClients, idleLeast); c != nil {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -213,7 +213,8 @@
 	if n.set.Memory <= 0 {
 		return math.MaxInt
 	}
-	return max(int(n.set.Memory/4/flowMemory), 4)
+	most := int(n.set.Memory / 4 / flowMemory)
+	return max(most/max(n.shared, 1), 4)
 }
 
 // flowEnded lets the next one go on that waits for room.
--- a/state.go
+++ b/state.go
@@ -137,12 +137,13 @@
 	watching  bool
 	askFails  int
 	askAt     Time
+	shared    float64 // processes that are this gateway: 2 while another takes its place
 	logged    int
 }
 
 // New returns a Balancer for one gateway, or an error where the settings leave nothing sound to do.
 func New(cfg Config, seed uint64, act Actions) (*Balancer, error) {
-	b := &Balancer{act: act, seed: seed, born: seed, byID: map[HostID]*host{}, reqs: map[ReqID]*request{}}
+	b := &Balancer{act: act, seed: seed, born: seed, byID: map[HostID]*host{}, reqs: map[ReqID]*request{}, shared: 1}
 	if err := b.settle(cfg); err != nil {
 		return nil, err
 	}
@@ -229,6 +230,96 @@
 	return nil
 }
 
+// Memory is what a gateway has learned, for another process that takes its place. Hosts are known by Key; classes and
+// tenants are in the order of the settings that both have.
+type Memory struct {
+	Hosts      map[uint64]HostMemory
+	Classes    []ClassMemory
+	Tenants    []TenantMemory
+	Busy, Rate float64
+	ModeTime   [2]float64
+	Over       bool
+}
+
+// HostMemory is what was learned of a host's process, as of Started.
+type HostMemory struct {
+	Started              Time
+	Limit, Bad, Tokens   float64
+	Fails, Outs          int
+	OutTill, TokensAt    Time
+	Queue, Util, Holding float64 // by its last report
+}
+
+// ClassMemory is what was learned of a class, and TenantMemory of a tenant.
+type (
+	ClassMemory  struct{ Base, Mean float64 }
+	TenantMemory struct {
+		Demand, Want float64
+		Used         [2]float64
+	}
+)
+
+// Export returns what was learned. Of what is left of the cold budgets, half goes with it.
+func (b *Balancer) Export() Memory {
+	m := Memory{Hosts: map[uint64]HostMemory{}, Busy: b.busy, Rate: b.rate, ModeTime: b.modeTime, Over: b.over}
+	for _, h := range b.hosts {
+		h.tokens /= 2
+		m.Hosts[cmp.Or(h.Key, uint64(h.ID))] = HostMemory{Started: h.Started, Limit: h.limit, Bad: h.bad, Tokens: h.tokens, Fails: h.fails,
+			Outs: h.outs, OutTill: h.outTill, TokensAt: h.tokensAt, Queue: h.report.Backlog, Util: h.report.Utilization, Holding: h.report.Outstanding}
+	}
+	for i := range b.classes {
+		m.Classes = append(m.Classes, ClassMemory{b.classes[i].base, b.classes[i].mean})
+	}
+	for i := range b.tenants {
+		t := &b.tenants[i]
+		m.Tenants = append(m.Tenants, TenantMemory{t.demand, t.want, t.used})
+	}
+	return m
+}
+
+// Import takes up what another process has learned of the hosts that are listed. What makes no sense is left out.
+func (b *Balancer) Import(now Time, m Memory) {
+	b.now = now
+	sound := func(v ...float64) bool {
+		return !slices.ContainsFunc(v, func(v float64) bool { return !(v >= 0 && v < 1e15) })
+	}
+	for _, h := range b.hosts {
+		o, ok := m.Hosts[cmp.Or(h.Key, uint64(h.ID))]
+		if !ok || o.Started != h.Started || !sound(o.Limit, o.Bad) || o.Limit == 0 || o.Bad > 1 || math.IsNaN(o.Tokens) {
+			continue
+		}
+		h.limit, h.bad, h.fails, h.outs = o.Limit, o.Bad, min(max(o.Fails, 0), ejectAfter), min(max(o.Outs, 0), 2*ejectMost)
+		h.tokens, h.tokensAt = o.Tokens, now
+		h.outTill = min(o.OutTill, now+b.period<<ejectMost)
+		h.report, h.reportAt, h.heardAt = Report{o.Holding, o.Queue, o.Util}, now, 0
+		if !sound(o.Queue, o.Util) {
+			h.report = Report{-1, -1, -1}
+		}
+	}
+	if len(m.Classes) == len(b.classes) {
+		for i, c := range m.Classes {
+			if sound(c.Base, c.Mean) && c.Base > 0 && c.Mean > 0 {
+				b.classes[i].base, b.classes[i].mean = c.Base, c.Mean
+			}
+		}
+	}
+	if len(m.Tenants) == len(b.tenants) {
+		for i, t := range m.Tenants {
+			if sound(t.Demand, t.Want, t.Used[0], t.Used[1]) {
+				b.tenants[i].demand, b.tenants[i].want, b.tenants[i].used = t.Demand, t.Want, t.Used
+			}
+		}
+	}
+	if sound(m.Busy, m.Rate, m.ModeTime[0], m.ModeTime[1]) {
+		b.busy, b.rate, b.modeTime, b.over = m.Busy, m.Rate, m.ModeTime, m.Over
+	}
+	b.control()
+	b.release()
+}
+
+// Share tells how many processes are this gateway: they spend the cold budgets together.
+func (b *Balancer) Share(processes int) { b.shared = float64(max(processes, 1)) }
+
 // Config returns the settings in force, defaults filled in.
 func (b *Balancer) Config() Config { return b.cfg }
 
