Never set the handed-over socket to blocking; bound what clients send ahead

Checked with a small program: os.File.Fd sets a listening socket to blocking (O_NONBLOCK gone after it), and the flag belongs to the socket, which both processes have. An accept that finds the queue empty then stops a poller. Ruled out: the gate (its line is there), descriptors, memory, the order of the two yes.

Cause: Offer.give passed listener.Fd(), and net.FileListener with netpoll's ConvertListener calls Fd again (handover.go, upgrade.go).

Change: descriptors go over bare, node.Inherit is a listener that never touches the flag; a test looks at the flag. Also, what a client sends behind a request that is not answered is bounded at 304 KiB for each connection and 4 MiB for all: since large messages it was per connection only, 90 MB for 300 of them.

--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -63,14 +62,11 @@
 	err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(t.Body, &got.Handed)
 	t.Body = nil
 	if err == nil {
-		var ln net.Listener
-		if ln, err = net.FileListener(t.Listener); err == nil {
-			got.ln, err = netpoll.ConvertListener(ln)
-		}
+		got.ln, err = node.Inherit(t.Listener)
 	}
-	_ = t.Listener.Close()
 	if err != nil {
 		log.Warn("nothing taken over", "err", err)
+		_ = syscall.Close(t.Listener)
 		_ = t.Close()
 		return nil
 	}
@@ -91,14 +87,14 @@
 }
 
 // Give is the Offer's.
-func (g *giver) Give() ([]byte, *os.File, error) {
+func (g *giver) Give() ([]byte, int, error) {
 	answer := make(chan node.Handed, 1)
 	g.n.Export(func(h node.Handed) { answer <- h })
 	var h node.Handed
 	select {
 	case h = <-answer:
 	case <-time.After(handover.Within):
-		return nil, nil, errors.New("the node did not answer in time")
+		return nil, -1, errors.New("the node did not answer in time")
 	}
 	body, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(h)
 	fd := -1
@@ -107,11 +103,11 @@
 	}
 	if err != nil {
 		g.log.Warn("not handed over", "err", err)
-		return nil, nil, err
+		return nil, -1, err
 	}
 	g.with.add(1)
 	g.log.Info("handed over", "rev", h.List.Rev, "backends", len(h.List.Targets), "open", len(h.IDs), "bytes", len(body))
-	return body, os.NewFile(uintptr(fd), "listener"), nil
+	return body, fd, nil
 }
 
 // Serving is the Offer's: what comes now finds the newer process, as this one leaves.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -49,9 +49,9 @@
 
 // Giver is the older process. Its methods are called from goroutines of an Offer's.
 type Giver interface {
-	// Give returns what is handed over, and the listening socket, which the Offer closes. From here on two processes share
-	// what one had.
-	Give() (body []byte, listener *os.File, err error)
+	// Give returns what is handed over, and a descriptor of the listening socket, which the Offer closes. It is a bare one:
+	// os.File's Fd sets a socket to blocking, for all processes that have it. From here on two processes share what one had.
+	Give() (body []byte, listener int, err error)
 	// Serving tells that the newer process accepts connections.
 	Serving()
 	// Gone tells that the newer process has ended, or has never come to serve.
@@ -132,8 +132,8 @@
 	}
 	defer o.to.Gone()
 	head := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32([]byte(magic), uint32(len(body))), xxhash.Sum64(body))
-	_, _, err = conn.WriteMsgUnix(head, unix.UnixRights(int(listener.Fd())), nil)
-	_ = listener.Close()
+	_, _, err = conn.WriteMsgUnix(head, unix.UnixRights(listener), nil)
+	_ = unix.Close(listener)
 	if err == nil {
 		_, err = conn.Write(body)
 	}
@@ -155,7 +155,7 @@
 // Taken is what the newer process has been handed.
 type Taken struct {
 	Body     []byte
-	Listener *os.File
+	Listener int // a descriptor
 	conn     *net.UnixConn
 }
 
@@ -169,12 +169,12 @@
 		return nil, err
 	}
 	conn := raw.(*net.UnixConn)
-	var listener *os.File
+	listener := -1
 	defer func() {
 		if err != nil {
 			_ = conn.Close()
-			if listener != nil {
-				_ = listener.Close()
+			if listener >= 0 {
+				_ = unix.Close(listener)
 			}
 		}
 	}()
@@ -208,18 +208,18 @@
 	return &Taken{Body: body, Listener: listener, conn: conn}, nil
 }
 
-func descriptor(oob []byte) (*os.File, error) {
+func descriptor(oob []byte) (int, error) {
 	messages, err := unix.ParseSocketControlMessage(oob)
 	if err != nil {
-		return nil, err
+		return -1, err
 	}
 	for _, m := range messages {
 		if fds, err := unix.ParseUnixRights(&m); err == nil && len(fds) == 1 {
 			unix.CloseOnExec(fds[0])
-			return os.NewFile(uintptr(fds[0]), "listener"), nil
+			return fds[0], nil
 		}
 	}
-	return nil, errors.New("no descriptor came")
+	return -1, errors.New("no descriptor came")
 }
 
 // Serve tells the older process that this one accepts connections, and calls gone when that has ended.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 // older is a process that gives.
@@ -23,12 +24,24 @@
 	serving, gone chan struct{}
 }
 
-func (o *older) Give() ([]byte, *os.File, error) {
+func (o *older) Give() ([]byte, int, error) {
 	if o.err != nil {
-		return nil, nil, o.err
+		return nil, -1, o.err
 	}
-	f, err := o.ln.(*net.TCPListener).File()
-	return o.body, f, err
+	fd, err := -1, error(nil)
+	raw, _ := o.ln.(*net.TCPListener).SyscallConn()
+	_ = raw.Control(func(old uintptr) { fd, err = unix.Dup(int(old)) })
+	return o.body, fd, err
+}
+
+// blocking tells whether a listener's socket is, for all who have it.
+func blocking(ln net.Listener) (is bool) {
+	raw, _ := ln.(*net.TCPListener).SyscallConn()
+	_ = raw.Control(func(fd uintptr) {
+		flags, err := unix.FcntlInt(fd, unix.F_GETFL, 0)
+		is = err != nil || flags&unix.O_NONBLOCK == 0
+	})
+	return is
 }
 func (o *older) Serving() { o.serving <- struct{}{} }
 func (o *older) Gone()    { o.gone <- struct{}{} }
@@ -81,11 +94,15 @@
 	if err != nil || !bytes.Equal(got.Body, first.body) {
 		t.Fatal(err, len(got.Body))
 	}
-	ln, err := net.FileListener(got.Listener)
+	if blocking(first.ln) { // an accept that finds the queue empty would stop the poller of either process
+		t.Error("the socket has been set to blocking on its way")
+	}
+	file := os.NewFile(uintptr(got.Listener), "listener")
+	ln, err := net.FileListener(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = got.Listener.Close()
+	_ = file.Close()
 	gone := make(chan struct{}, 1)
 	got.Serve(func() { gone <- struct{}{} })
 	wait(t, first.serving, "the older hears that the newer serves")
@@ -110,7 +127,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = third.Listener.Close()
+	_ = unix.Close(third.Listener)
 	_ = third.Close() // it dies before it serves
 	wait(t, second.gone, "an older process hears that the newer never came to serve")
 	_ = o2.Close()
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -358,3 +358,38 @@
 	close(slow)
 	wait.Wait()
 }
+
+// What clients send ahead is kept within bounds, for each and for all; a large request behind one that is not answered is
+// not lost.
+func TestSentAhead(t *testing.T) {
+	a, arrived, release := newHeldApp(t)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	body := noiseOf(1, 100_000)
+	fine := dial(t, addr)
+	_, _ = io.WriteString(fine, text("once", 9000)+post("once", "Content-Length: 100000")+string(body))
+	<-arrived
+	flood := dial(t, addr)
+	_, _ = io.WriteString(flood, text("once", 9000))
+	<-arrived
+	go func() { _, _ = flood.Write(noiseOf(2, 8<<20)) }()
+	until(n, func() bool {
+		for c := range n.clients {
+			if c.cut {
+				return c.moreSize <= moreMost && n.kept <= 2*moreMost
+			}
+		}
+		return false
+	})
+	go func() { <-arrived }()
+	close(release)
+	for i := range 2 {
+		if code, _, _ := fine.answer(); code != 200 {
+			t.Errorf("answer %d: %d", i, code)
+		}
+	}
+	if code, _, closing := flood.answer(); code != 200 || !closing {
+		t.Errorf("the flood's own request: %d, closing %v", code, closing)
+	}
+	_ = flood.Close()
+	until(n, func() bool { return n.kept == 0 })
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -38,6 +38,7 @@
 	idleIn    *list.List // fresh or idleClients
 	more      [][]byte   // came behind what c.in has room for
 	moreSize  int
+	cut       bool     // some of what came was dropped: nothing behind it can be read
 	upload    *upload  // the request that is coming in is too large to be held
 	down      *backend // it passes on an answer too large to be held
 	old       bool     // its request came as HTTP/1.0
@@ -177,6 +178,7 @@
 	c.n.descriptors--
 	c.in.release()
 	c.in, c.more = nil, nil
+	c.keeps(0)
 	if c.down != nil {
 		c.n.closeBackend(c.down)
 	}
@@ -211,8 +213,10 @@
 		c.upload.early = earlyData(c.upload.early, b.bytes())
 		return
 	}
-	if len(c.more) > 0 {
-		c.keep(b.bytes())
+	if c.cut || len(c.more) > 0 {
+		if !c.cut {
+			c.keep(b.bytes())
+		}
 		return
 	}
 	if c.in == nil {
@@ -240,16 +244,26 @@
 	}
 }
 
-// moreMost bounds what is kept of a request while the answer to the one before is on its way.
-const moreMost = lingerBytes
+// What is kept of requests while the answer to the one before is on its way: of one connection, and of all.
+const (
+	moreMost = lingerBytes
+	keptMost = 4 << 20
+)
 
 // keep keeps what c.in has no room for. What is too much is dropped, so nothing behind it can be read.
 func (c *client) keep(p []byte) {
-	if c.moreSize += len(p); c.moreSize > moreMost {
-		c.last = true
+	if c.moreSize+len(p) > moreMost || c.n.kept+len(p) > keptMost {
+		c.last, c.cut = true, true
 		return
 	}
 	c.more = earlyData(c.more, p)
+	c.keeps(c.moreSize + len(p))
+}
+
+// keeps notes how much that is.
+func (c *client) keeps(size int) {
+	c.n.kept += size - c.moreSize
+	c.moreSize = size
 }
 
 // refill moves what was kept into c.in, as far as there is room.
@@ -258,9 +272,9 @@
 		c.in = newBuffer()
 		c.begins(at)
 	}
-	for len(c.more) > 0 && c.moreSize <= moreMost {
+	for len(c.more) > 0 {
 		rest := c.in.add(c.more[0])
-		if c.moreSize -= len(c.more[0]) - len(rest); len(rest) > 0 {
+		if c.keeps(c.moreSize - (len(c.more[0]) - len(rest))); len(rest) > 0 {
 			c.more[0] = rest
 			return
 		}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"tulipglade"
 	"tulipglade/internal/protocol"
@@ -99,6 +100,69 @@
 // leastRoom is what is left to serve with, however few descriptors processes share.
 const leastRoom = 16
 
+// inherited is a listening socket of another process. netpoll's own listener would set it to blocking for a moment, for
+// both: an accept that then finds the queue empty stops the poller, and with it all connections.
+type inherited struct {
+	fd   int
+	addr net.Addr
+}
+
+// Inherit makes a listener of a descriptor, which belongs to it from here on.
+func Inherit(fd int) (netpoll.Listener, error) {
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil, err
+	}
+	addr, ok := tcpAddr(name)
+	if !ok {
+		return nil, errors.New("not a TCP socket")
+	}
+	return &inherited{fd, addr}, unix.SetNonblock(fd, true)
+}
+
+func tcpAddr(name unix.Sockaddr) (*net.TCPAddr, bool) {
+	switch a := name.(type) {
+	case *unix.SockaddrInet4:
+		return &net.TCPAddr{IP: a.Addr[:], Port: a.Port}, true
+	case *unix.SockaddrInet6:
+		return &net.TCPAddr{IP: a.Addr[:], Port: a.Port}, true
+	}
+	return nil, false
+}
+
+// Accept is netpoll's: nothing and no error where the queue is empty.
+func (l *inherited) Accept() (net.Conn, error) {
+	fd, from, err := unix.Accept(l.fd)
+	switch err {
+	case nil:
+	case unix.EAGAIN, unix.EINTR, unix.ECONNABORTED:
+		return nil, nil
+	default:
+		return nil, err
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c := &accepted{fd: fd, local: l.addr, remote: &net.TCPAddr{}}
+	if remote, ok := tcpAddr(from); ok {
+		c.remote = remote
+	}
+	return c, nil
+}
+
+func (l *inherited) Close() error   { return unix.Close(l.fd) }
+func (l *inherited) Addr() net.Addr { return l.addr }
+func (l *inherited) Fd() int        { return l.fd }
+
+// accepted is what netpoll wants to know of a connection: it makes its own of it.
+type accepted struct {
+	net.Conn
+	fd            int
+	local, remote net.Addr
+}
+
+func (c *accepted) Fd() int              { return c.fd }
+func (c *accepted) LocalAddr() net.Addr  { return c.local }
+func (c *accepted) RemoteAddr() net.Addr { return c.remote }
+
 // Gate is a listener that can stop accepting while its queue stays: another process accepts from it.
 type Gate struct {
 	netpoll.Listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	writing                 int // answers on their way out
 	flows                   int // large messages on their way through
 	flowQueue               []func()
+	kept                    int // bytes that clients have sent behind a request that is not answered
 	hosts                   map[tulipglade.HostID]*host
 	byUID                   map[string]*host
 	lastHost                tulipglade.HostID
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -30,7 +30,8 @@
 	c.asked = true
 	c.setIdle(false)
 	c.upload = &upload{early: c.more}
-	c.more, c.moreSize = nil, 0
+	c.more = nil
+	c.keeps(0)
 	c.leave(func(file *os.File, rest []byte, err error) {
 		c.n.post(func() { c.uploadBegins(file, rest, err) })
 	}) // where it has ended, gone follows
