--- a/balancer.go
+++ b/balancer.go
@@ -75,7 +75,8 @@
 func (b *Balancer) Request(now Time, a Arrival) {
 	b.now = now
 	c := &b.cfg.Classes[a.Class]
-	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants), deadline: a.Deadline, most: b.cfg.MaxAttempts}
+	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants),
+		deadline: a.Deadline, most: b.cfg.MaxAttempts}
 	if b.cfg.WarmKeys {
 		r.key = a.Key
 	}
