--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,7 +61,7 @@
 	running := *c // but for what takes a restart
 	running.Name, running.Listen, running.Operator, running.Known = old.Name, old.Listen, old.Operator, old.Known
 	running.Cores, running.MemoryMB = old.Cores, old.MemoryMB
-	running.Node.Seed, running.Node.Sockets = old.Node.Seed, old.Node.Sockets
+	running.Node.Seed, running.Node.Sockets, running.Node.Memory = old.Node.Seed, old.Node.Sockets, old.Node.Memory
 	running.Node.Zones, running.Node.Module.Zone = old.Node.Zones, old.Node.Module.Zone
 	running.Node.Module.AskDiscovery = old.Node.Module.AskDiscovery
 	if !reflect.DeepEqual(old.Node, running.Node) {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -42,7 +42,6 @@
 	msg       protocol.Message
 	up        bool      // the pool has it
 	written   bool      // the request's last byte is
-	large     bool      // its answer is, and waits for the writer
 	answered  bool      // whole, before the writer said that it was done
 	down      *download // it passes on an answer too large to be held
 	kept      []*buffer // what came before the word that all of a large request has gone
