--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -118,7 +118,7 @@
 			}
 		}()
 	}
-	const upgrades = 8 // each takes the 0.75 s of a stop
+	const upgrades = 20 // each takes the 0.75 s of a stop
 	var pause time.Duration
 	for range upgrades {
 		began := time.Now()
