--- a/internal/daemon/shape.go
+++ b/internal/daemon/shape.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -11,7 +12,7 @@
 var optional = []string{"settings.profiles[].aim_stretch", "settings.specifics.passes_deadline", "settings.specifics.warm_keys",
 	"settings.prices.fleet"}
 
-// lists of which the elements are not held against each other: these are data, read by readers of their own.
+// data are the parts that differ by their nature, and have readers of their own.
 var data = []string{"known"}
 
 // shape tells whether a new configuration has all that the running one has: each key, with a value of the same kind, and
@@ -27,7 +28,7 @@
 	switch old := old.(type) {
 	case map[string]any:
 		new := new.(map[string]any)
-		for _, key := range keys(old) {
+		for _, key := range slices.Sorted(maps.Keys(old)) { // so that the first fault is the same each time
 			at := strings.TrimPrefix(path+"."+key, ".")
 			if _, ok := new[key]; !ok && slices.Contains(optional, at) {
 				continue
@@ -83,15 +84,6 @@
 	return nil
 }
 
-func keys(m map[string]any) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out) // the first fault is the same each time
-	return out
-}
-
 func kind(v any) string {
 	switch v.(type) {
 	case nil:
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
@@ -51,12 +52,10 @@
 // Import takes up what an older process of this node has learned, of the hosts that it has been told of.
 func (n *Node) Import(h Handed) {
 	n.post(func() {
-		if equal(h.Classes, n.set.Classes) && equal(h.Tenants, n.set.Tenants) {
-			n.bal.Import(n.now(), h.Learned)
-		} else { // of hosts alone: the settings are others by now
+		if !slices.Equal(h.Classes, n.set.Classes) || !slices.Equal(h.Tenants, n.set.Tenants) { // the settings are others by now
 			h.Learned.Classes, h.Learned.Tenants = nil, nil
-			n.bal.Import(n.now(), h.Learned)
 		}
+		n.bal.Import(n.now(), h.Learned)
 		for id, till := range h.IDs {
 			if _, held := n.ids[id]; held || till < n.now() || len(n.ids) >= maxIDs {
 				continue
@@ -70,18 +69,6 @@
 // idsMost is for how long an id that was handed over is kept at most, in microseconds.
 const idsMost = 60_000_000
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Share tells how many processes are this node: each has its part of the descriptors, of the memory for large messages,
 // and of the cold hosts' budgets.
 func (n *Node) Share(processes int) {
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"slices"
-
-	"tulipglade"
-)
+import "tulipglade"
 
 // Retune takes up new settings, which must be sound: their Module is one that tulipglade.New takes. Requests that are
 // open, and what they lead to, keep the settings that they came under. What was learned of a class or a tenant lives on
@@ -95,17 +91,11 @@
 		if stays >= 0 {
 			continue
 		}
-		free := slices.IndexFunc(at, func(k int) bool { return k < 0 })
-		for free >= 0 && used[free] {
-			next := slices.IndexFunc(at[free+1:], func(k int) bool { return k < 0 })
-			if next < 0 {
-				free = -1
-			} else {
-				free += 1 + next
-			}
+		free := 0
+		for free < len(at) && (at[free] >= 0 || used[free]) {
+			free++
 		}
-		if free < 0 {
-			free = len(at)
+		if free == len(at) {
 			at, from, used = append(at, -1), append(from, -1), append(used, false)
 		}
 		at[free], from[free] = k, learned
