Carry probes out, watch the agent where lists are pushed, and pass size hints on

Node.Probe was empty (internal/node/request.go), on the ground that hosts may not be probed; there they may, the module draws hosts, asks them and waits. Seen: requests held some 120 ms, then declined, no connection to a host. Beside it, where lists are pushed nobody called Observe (Members sets watching, so the module never asks), so no drain or death was heard; and X-Size-Hint was read nowhere.

The watch of a pushed list never ends and is not told to the module as failed; its calls wait for a quarter of the drain's grace. Not taken: sharing one probe's answer among those that ask meanwhile, as it is older than what was asked for.

--- a/api.go
+++ b/api.go
@@ -132,6 +132,7 @@
 	Deadline      Time   // when this client gives up
 	Key           uint64 // what the request is about, the same at every gateway; 0: not told
 	Repeat        bool   // the client marked it as a repeat
+	Hint          Span   // of the work it takes on a core of the usual speed, roughly; 0: not told
 }
 
 // Settlement is the end of one attempt. Closed: the client has its answer.
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -27,7 +27,8 @@
 	MemoryMB  int
 	Known     protocol.List
 	Node      node.Settings
-	tree      any // the file as it stands, which the next one is held against
+	Grace     int64 // after the word that a host drains or is gone, for what still goes to it, in microseconds
+	tree      any   // the file as it stands, which the next one is held against
 }
 
 // Load reads the configuration file and checks it. Listen and discovery may be given in the environment
@@ -121,12 +122,13 @@
 		} `json:"limits"`
 		Rules struct {
 			Grace int64 `json:"grace_to_answer_us"`
+			Drain int64 `json:"drain_grace_us"`
 		} `json:"rules"`
 	}
 	if err := json.Unmarshal(in.Settings, &s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	module, _, err := wire.Settings(in.Settings)
+	module, reports, err := wire.Settings(in.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -155,8 +157,9 @@
 	if module.AskDiscovery && module.AskEvery <= 0 {
 		return nil, fmt.Errorf("settings.rules.ask_every_us: %d is not above 0, and discovery must be asked", module.AskEvery)
 	}
+	c.Grace = s.Rules.Drain
 	c.Node = node.Settings{Module: module, Seed: seed, Zones: s.Zones, MaxOpen: s.Limits.MaxOpen,
-		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Grace: s.Rules.Grace,
+		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Reports: len(reports) > 0, Grace: s.Rules.Grace,
 		Sockets: in.Limits.Sockets, Memory: int64(in.Limits.MemoryMB) << 20}
 	if c.Node.Classes, err = names("settings.profiles", s.Classes); err != nil {
 		return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,9 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	n.Members(known, true)
+	if !c.Node.Module.AskDiscovery {
+		w.pushed(c.Grace, func(err error) { log.Warn("the agent that pushes lists does not answer", "err", err) })
+	}
 	if old != nil {
 		n.Import(old.Handed)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -512,3 +512,92 @@
 		t.Errorf("an address in use: %v", err)
 	}
 }
+
+// Where lists are pushed the watch begins by itself and never ends: an agent that fails, says nothing, tells an empty list or
+// moves is asked again without a word to the module, which did not ask. The first failure in a row is told, and no other.
+func TestPushedWatchNeverEnds(t *testing.T) {
+	answers := make(chan string, 10)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case a := <-answers:
+			switch a {
+			case "":
+				w.WriteHeader(503)
+			case "silence":
+				<-r.Context().Done()
+			default:
+				fmt.Fprint(w, a)
+			}
+		case <-r.Context().Done():
+		}
+	})
+	srv := httptest.NewServer(handler)
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.RequestURI, "since=") {
+			<-r.Context().Done() // no news
+			return
+		}
+		fmt.Fprint(w, `{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"in_service"}]}`)
+	}))
+	defer next.Close()
+	defer next.CloseClientConnections()
+	to := make(heard, 10)
+	w := newWatch(srv.Listener.Addr().String(), 41)
+	w.to, w.pause = to, time.Millisecond
+	for _, a := range []string{"", "silence", `{"rev":1,"all":true,"targets":[]}`, `{"rev":42,"all":false,"targets":[]}`,
+		"silence", `{"rev":43,"all":false,"targets":[]}`} {
+		answers <- a
+	}
+	w.pushed((400 * time.Millisecond).Microseconds(), func(error) { to <- "lost" })
+	if w.wait != 100*time.Millisecond || w.slack != w.wait {
+		t.Errorf("waits %v, gives up %v after that", w.wait, w.slack)
+	}
+	for _, want := range []string{"lost", "list 42 false", "lost", "list 43 false"} {
+		to.want(t, want)
+	}
+	srv.CloseClientConnections() // the agent dies, and nobody waits for an answer there
+	w.Move(next.Listener.Addr().String())
+	for got := ""; got != "list 7 true"; {
+		select {
+		case got = <-to:
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing from the agent that it has moved to")
+		}
+		if got != "lost" && got != "list 7 true" {
+			t.Fatal(got)
+		}
+	}
+	w.Observe(false)
+}
+
+// A node to which lists are pushed hears of a drain without having asked for anything.
+func TestPushedListsAreHeard(t *testing.T) {
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.RequestURI, "since=9000") {
+			<-r.Context().Done() // no news
+			return
+		}
+		fmt.Fprint(w, `{"rev":9000,"all":false,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"terminating"}]}`)
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	c, err := Parse([]byte(strings.NewReplacer(`"ask"`, `"push"`, "127.0.0.1:8500", agent.Listener.Addr().String()).Replace(good)),
+		func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	out, ended := make(lines, 100), make(chan error, 1)
+	go func() { ended <- Serve(ctx, c, nil, slog.New(slog.NewTextHandler(out, nil))) }()
+	for line := range out {
+		if strings.Contains(line, "msg=backends rev=9000") {
+			break
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -37,6 +37,7 @@
 	to          listener
 	wait, slack time.Duration
 	pause       time.Duration
+	lost        func(error) // where lists are pushed: a watch never ends, and the first of failures in a row comes here
 
 	mu      sync.Mutex
 	addr    string
@@ -54,6 +55,17 @@
 		wait: watchWait, slack: callSlack, pause: callPause}
 }
 
+// pushed makes it the watch of an agent, which answers at no cost with what it has been sent, from now to the end of the process.
+// What the agent has counts as told, so the watch does not wait for the module to ask again, and a call that the agent
+// does not answer is given up well within the time in which a drain must be heeded, in microseconds.
+func (w *watch) pushed(grace int64, lost func(error)) {
+	quarter := time.Duration(grace) * time.Microsecond / 4
+	w.wait = min(max(quarter, w.pause), w.wait)
+	w.slack = min(max(quarter, w.pause), w.slack)
+	w.lost = lost
+	w.Observe(true)
+}
+
 // Observe begins to watch, or ends that once the call at hand has come back.
 func (w *watch) Observe(on bool) {
 	w.mu.Lock()
@@ -109,6 +121,7 @@
 	c := &call{}
 	defer func() { c.close() }()
 	var wait time.Duration
+	failed := false
 	for {
 		w.mu.Lock()
 		if !w.on {
@@ -137,6 +150,14 @@
 		if err == nil && l.All && len(l.Targets) == 0 {
 			err = fmt.Errorf("discovery at %s: %w", c.addr, errNoBackends)
 		}
+		if w.lost != nil && err != nil {
+			if !failed {
+				w.lost(err)
+			}
+			failed, wait = true, 0
+			continue
+		}
+		failed = false
 		if err != nil {
 			w.mu.Lock()
 			if c.addr != w.addr { // it has moved in this moment
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -22,7 +22,10 @@
 // startDownload has the connection leave the poller. What has come of the answer is in b.in.
 func (b *backend) startDownload() {
 	n, a := b.n, b.att
-	if out := outcome(&b.msg); out != tulipglade.OK || a.req.done { // nobody wants it
+	if out := outcome(&b.msg); out != tulipglade.OK || a.req.done || a.probe { // nobody wants it
+		if a.probe {
+			out = tulipglade.Reset // what it says of its load could not be read
+		}
 		report := loadReport(&b.msg)
 		n.closeBackend(b)
 		n.settle(a, out, report)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	MaxOpen        int // open requests; 0: no limit but that of sockets
 	ConnectTimeout int64
 	Keepalive      int64 // a backend closes a connection that stood idle so long
+	Reports        bool  // backends report their load
 	Grace          int64 // past its deadline, after which a request is overdue
 	Sockets        int   // descriptors of the whole process
 	Memory         int64 // bytes that the process may use; 0: no limit
@@ -40,6 +41,21 @@
 	Fetch()
 }
 
+// module is what the node asks of the decision module: a tulipglade.Balancer.
+type module interface {
+	Members(now tulipglade.Time, kind tulipglade.ListKind, list []tulipglade.Host)
+	Request(now tulipglade.Time, a tulipglade.Arrival)
+	Loading(now tulipglade.Time, id tulipglade.ReqID, on bool)
+	Settled(now tulipglade.Time, s tulipglade.Settlement)
+	Checked(now tulipglade.Time, id tulipglade.HostID, out tulipglade.Outcome, took tulipglade.Span, rep *tulipglade.Report)
+	Gone(now tulipglade.Time, id tulipglade.ReqID)
+	Wake(now tulipglade.Time, t tulipglade.Token)
+	Retune(now tulipglade.Time, cfg tulipglade.Config, classes, tenants []int) error
+	Export() tulipglade.Memory
+	Import(now tulipglade.Time, m tulipglade.Memory)
+	Share(processes int)
+}
+
 // reserve is the part of the descriptors that are neither clients' nor backends': standard streams, poller,
 // listener, discovery, and the few that the runtime opens.
 const reserve = 32
@@ -49,7 +65,7 @@
 	set       *Settings // in force; classes and tenants in the order of the module's numbers
 	log       *slog.Logger
 	discovery Discovery
-	bal       *tulipglade.Balancer
+	bal       module
 	epoch     time.Time
 	epochUs   int64
 
@@ -297,6 +313,9 @@
 			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
 		}
 		n.listed = n.listed || len(hosts) > 0
+		if len(hosts) == 0 && kind == tulipglade.ListDelta && !n.set.Module.AskDiscovery {
+			return // where nothing was asked, nothing is owed: the module hears of changes alone
+		}
 		n.bal.Members(n.now(), kind, hosts)
 	})
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,6 +30,7 @@
 	idle    []*backend
 	waiting []*attempt // for a connection
 	dials   int        // connections on their way
+	probes  int        // out, and not settled
 }
 
 // backend is a connection to a host. It carries one request at a time.
@@ -198,12 +200,16 @@
 		}
 		n.closeBackend(b) // idle for too long, closed, or with input that no request asked for
 	}
-	if !n.makeRoom(1) {
+	if !a.probe && !n.makeRoom(1) {
 		n.warn("no descriptor for a connection", "descriptors", n.descriptors)
 		n.settle(a, tulipglade.ConnectFailed, nil)
 		return
 	}
-	h.waiting = append(h.waiting, a)
+	at := len(h.waiting)
+	for !a.probe && at > 0 && h.waiting[at-1].probe {
+		at--
+	}
+	h.waiting = slices.Insert(h.waiting, at, a)
 	n.dial(h)
 	n.at(n.now()+n.set.ConnectTimeout, func() {
 		if !a.over && a.backend == nil {
@@ -255,7 +261,11 @@
 		}
 		if len(h.waiting) > h.dials { // one of them waits in vain
 			n.log.Debug("connect failed", "host", h.addr, "err", err)
-			n.giveUp(h.waiting[0], tulipglade.ConnectFailed)
+			w := h.waiting[0]
+			if last := h.waiting[len(h.waiting)-1]; last.probe {
+				w = last
+			}
+			n.giveUp(w, tulipglade.ConnectFailed)
 		}
 		return
 	}
@@ -275,6 +285,11 @@
 	case len(h.waiting) > 0:
 		a := h.waiting[0]
 		h.waiting = h.waiting[1:]
+		if a.probe && h.state != protocol.InService { // since it was asked for
+			n.settle(a, tulipglade.Moot, nil)
+			n.reuse(b)
+			return
+		}
 		n.send(b, a)
 	default:
 		n.setIdle(b, true)
@@ -303,6 +318,11 @@
 func (n *Node) send(b *backend, a *attempt) {
 	r := a.req
 	a.backend, b.att, b.written = b, a, false
+	if a.probe {
+		b.msg = protocol.Message{}
+		n.write(&b.socket, func(err error) { n.sent(b, a, err) }, n.appendProbe(nil, b.host))
+		return
+	}
 	b.msg = protocol.Message{NoBody: string(r.msg.Method) == "HEAD"}
 	head, held := newBuffer(), r.buf.retain()
 	body := r.msg.Body(r.buf.bytes())
@@ -442,7 +462,11 @@
 var errEarly = errors.New("a large answer before the end of its request")
 
 func loadReport(msg *protocol.Message) *tulipglade.Report {
-	if load, ok := protocol.ParseLoad(msg.Get(protocol.LoadHeader)); ok {
+	return toReport(msg.Get(protocol.LoadHeader))
+}
+
+func toReport(text []byte) *tulipglade.Report {
+	if load, ok := protocol.ParseLoad(text); ok {
 		return &tulipglade.Report{Outstanding: load.Outstanding, Backlog: load.Backlog, Utilization: load.Utilization}
 	}
 	return nil
@@ -465,7 +489,9 @@
 	}
 	report := loadReport(&msg)
 	out := outcome(&msg)
-	if out == tulipglade.OK {
+	if a.probe && out == tulipglade.OK {
+		report = probeReport(&msg, msg.Body(in.bytes()))
+	} else if out == tulipglade.OK {
 		if msg.NoBody && a.req.client != nil {
 			a.req.client.headSize = max(msg.Length(), protocol.UntilClose)
 			if msg.Length() < 0 {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -35,6 +35,7 @@
 	till    int64    // how long the node waits for its answer
 	backend *backend // once it has a connection
 	over    bool     // it has its outcome
+	probe   bool     // it is one, and req is nobody's
 }
 
 // admit makes a request of what a client sent, or says why not: these refusals are the node's own and come
@@ -102,7 +103,17 @@
 	n.ids[trace] = struct{}{}
 	n.at(r.deadline+n.set.Grace, func() { n.overdue(id, trace) })
 	n.bal.Request(n.now(), tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
-		Key: protocol.Subject(r.msg.Target), Repeat: string(r.msg.Get("x-second-try")) == "1"})
+		Key: protocol.Subject(r.msg.Target), Repeat: string(r.msg.Get("x-second-try")) == "1", Hint: sizeHint(r.msg.Get("x-size-hint"))})
+}
+
+// sizeHint reads a client's guess at the work, in microseconds; 0 is none. It is no more than a guess: one that is no number
+// above 0, or not of this world, is as good as none, and no reason to turn a request away.
+func sizeHint(v []byte) tulipglade.Span {
+	us, err := strconv.ParseUint(string(v), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return int64(us)
 }
 
 // overdue ends what is left of a request after its time.
@@ -178,6 +189,10 @@
 		return
 	}
 	a.over = true
+	if a.probe {
+		n.checked(a, outcome, report)
+		return
+	}
 	s := tulipglade.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
 		Took: n.now() - a.sent, Report: report}
 	if a.till == never { // it had not all been sent: that took its client's time, not the host's
@@ -272,9 +287,6 @@
 	n.answer(r, nil, status, nil, []byte("failed\n"), 0)
 }
 
-// Probe is never carried out: app boxes may not be probed. The settings say so, and the module keeps to it.
-func (n *Node) Probe(tulipglade.HostID) {}
-
 // WakeAt sets one of the module's timers.
 func (n *Node) WakeAt(t tulipglade.Token, delay tulipglade.Span) {
 	n.at(n.now()+max(delay, 1), func() { n.bal.Wake(n.now(), t) })
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -170,6 +170,9 @@
 		}
 		ev.Arrival = tulipglade.Arrival{ID: tulipglade.ReqID(u32(rec[5:])), Key: binary.BigEndian.Uint64(rec[14:]), Tenant: u16(rec[22:]),
 			Deadline: int64(at), Class: u16(rec[32:]), Repeat: rec[9]&2 != 0}
+		if rec[9]&1 != 0 {
+			ev.Arrival.Hint = int64(u32(rec[10:]))
+		}
 	case Streaming:
 		ev.Settled = tulipglade.Settlement{ID: tulipglade.ReqID(u32(rec[5:])), Took: int64(u32(rec[9:])),
 			Host: host(rec[13:]), Attempt: u16(rec[19:])}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -110,7 +110,7 @@
 	if e[2].List != tulipglade.ListFailed || e[2].Hosts != nil {
 		t.Errorf("failed Members %+v", e[2])
 	}
-	if got := e[3].Arrival; got != (tulipglade.Arrival{ID: 0x5d3a91c4, Class: 1, Tenant: 2, Deadline: 0x8405da, Key: 0x91f03b7c55d20a64, Repeat: true}) {
+	if got := e[3].Arrival; got != (tulipglade.Arrival{ID: 0x5d3a91c4, Class: 1, Tenant: 2, Deadline: 0x8405da, Key: 0x91f03b7c55d20a64, Repeat: true, Hint: 12000}) {
 		t.Errorf("Request %+v", got)
 	}
 	if e[4].Token != 0x4d {
