Foresee what an answer takes where hosts tell what they hold; wait for no deaf probes

Change: foresee.go learns work per class, slowness and cores per host, and how far hints are true; best, lastStart and move go by it. What is foreseen as late goes to an idle host once a period, never with what must run once, so that a wrong estimate mends itself. Probing ends while none is answered, and goes on when one is.

--- a/api.go
+++ b/api.go
@@ -72,6 +72,7 @@
 	ColdMultiple  float64 // a cold host sent more than this multiple of its capacity
 	ColdWindow    Span    // for this long falls over; 0: no such limit
 	CrossZone     float64 // price of crossing zones; 0: none
+	Marked        bool    // clients mark their repeats
 	WarmKeys      bool    // a host that has lately met a key does less work for it
 	Probe         float64 // price of a probe, in requests' worth
 }
--- a/balancer.go
+++ b/balancer.go
@@ -27,6 +27,8 @@
 	baseDrift   = 1.01      // rise per control period of the latency held to be uncongested
 	smoothing   = 0.3       // weight of the last period in means over periods
 	enough      = 8         // answers in a period that make a mean
+	sure        = 1.2       // times what is foreseen an answer may take
+	fill        = 0.7       // of the aim, a host's limit is what it is done with in that time
 	probeDraws  = 3         // hosts probed for a request, where that is cheap
 	golden      = 0.618034  // of the ring of hosts from one gateway to the next: any run is even
 	probeWorth  = 0.01      // of a request's worth may go into that
@@ -75,16 +77,13 @@
 func (b *Balancer) Request(now Time, a Arrival) {
 	b.now = now
 	c := &b.cfg.Classes[a.Class]
-	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants),
-		deadline: a.Deadline, most: b.cfg.MaxAttempts}
+	r := &request{id: a.ID, class: a.Class, tenant: a.Tenant % len(b.tenants), deadline: a.Deadline,
+		most: b.cfg.MaxAttempts, hint: b.classes[a.Class].distance(a.Hint)}
+	r.size = math.Exp(r.hint * b.classes[a.Class].belief())
 	if b.cfg.WarmKeys {
 		r.key = a.Key
 	}
-	r.aimAt, r.halfAt = min(now+c.Aim, r.deadline), now+(a.Deadline-now)/2
-	at, usual := b.classes[a.Class].commonest(a.Deadline-now, c.Deadline)
-	if c.LateShare == 0 && (at < usual-1 || at > usual+1) { // first tries wait alike, repeats do not
-		r.aimAt = min(r.aimAt, a.Deadline-c.Deadline+c.Aim) // a repeat: its aim runs from the first try
-	}
+	r.aimAt, r.halfAt = min(b.began(a)+c.Aim, r.deadline), now+(a.Deadline-now)/2 // from the first try on
 	b.reqs[r.id] = r
 	b.tenants[r.tenant].arrived++
 	end := r.deadline
@@ -93,7 +92,7 @@
 	}
 	b.act.WakeAt(Token(r.id)*wakeKinds+wakeEnd, max(end-now, 0))
 	b.hold(r, false)
-	if b.over && r.aimAt <= now {
+	if b.over && r.aimAt <= now || b.classes[a.Class].answers > 0 && b.lastStart(r) <= now {
 		b.end(r) // what would be late anyway is refused first
 	}
 	b.release()
@@ -109,6 +108,9 @@
 	a := &r.tries[s.Attempt]
 	a.open, a.ran = false, s.Outcome != Full && s.Outcome != ConnectFailed && s.Outcome != Moot
 	b.book(r, a.host, -1, s)
+	if s.Outcome == OK || s.Outcome == TimedOut {
+		b.noteAnswer(r, a, float64(s.Took), s.Outcome == OK)
+	}
 	b.learn(a.host, r.class, s)
 	if s.Closed {
 		b.finish(r)
@@ -123,7 +125,11 @@
 
 // control runs every T_d, at mode flips and when the list changes.
 func (b *Balancer) control() {
+	b.ease()
 	warm := b.regroup()
+	if b.deaf() && len(b.group) > 0 { // are they answered again?
+		b.act.Probe(b.group[int(b.random()*float64(len(b.group)))].ID)
+	}
 	if dt := float64(b.now - b.controlAt); dt >= float64(b.period)/2 || b.overloaded() != b.over && dt > 0 {
 		b.controlAt = b.now
 		b.predict(dt, warm)
@@ -252,48 +258,28 @@
 	return drawn
 }
 
-// drawFor draws by weight: by chance, or by key where hosts work less for one that they have met. Over all
-// keys hosts still stand by weight, but a key meets the same ones, at whichever gateway it comes in.
-func (b *Balancer) drawFor(key uint64, from []*host) int {
-	if key == 0 {
-		return b.draw(b.weights[:len(from)])
-	}
-	first, least := -1, math.Inf(1)
-	for i, h := range from { // weighted rendezvous; -ln u is 1-u at least: that spares most logarithms
-		u, w := float64(mix(key^h.rank)>>11+1)/(1<<53), b.weights[i]
-		if w > 0 && 1-u < least*w {
-			if x := -math.Log(u) / w; x < least {
-				first, least = i, x
-			}
-		}
-	}
-	return first
-}
-
 // best is the host least used for its limit of those drawn, nil where none has room.
 func (b *Balancer) best(r *request, drawn []*host) (best *host) {
 	least := math.Inf(1)
 	for _, h := range drawn {
-		n := b.used(h)
-		load := n / b.limitOf(h)
-		if (!b.probing() || b.fresh(h) && b.room(h) > 0) && b.allowed(r, h) && load < least {
+		load, told := b.used(h)/b.limitOf(h), !b.probing() || b.fresh(h) && b.room(h) > 0
+		if told && load < least && b.allowed(r, h) && b.inTime(r, h) {
 			best, least = h, load
 		}
 	}
 	return best
 }
 
-// fresh tells whether a report says more than our own part of what a host holds.
-func (b *Balancer) fresh(h *host) bool {
-	return h.report.Outstanding >= 0 && b.now-h.heardAt <= 2*b.cfg.Tick
-}
-
-// used is our part of what a host holds, by a fresh report or else our own attempts.
-func (b *Balancer) used(h *host) float64 {
-	if b.fresh(h) {
-		return h.report.Outstanding / b.sharers
+// inTime tells whether an answer is foreseen before it is too late. A host that holds nothing is tried now
+// and then even if it would be late: what is foreseen may be wrong, and only answers mend it.
+func (b *Balancer) inTime(r *request, h *host) bool {
+	c, f, till := &b.cfg.Classes[r.class], b.foresee(r, h), r.aimAt
+	if c.LateShare > 0 {
+		till = r.deadline
 	}
-	return float64(h.out.n)
+	took, left := f.took*b.slowness(h), float64(till-b.now)
+	return took == 0 || took*sure <= left ||
+		f.held == 0 && (took <= left || c.Effect != Once && b.now-b.triedAt > b.period)
 }
 
 // room is what is left of a host's limit: all where a probe will tell, none where its fraction is spent.
@@ -310,9 +296,12 @@
 
 // probing tells whether to ask hosts what they hold before placing: where that is cheap and they tell.
 func (b *Balancer) probing() bool {
-	return b.cfg.MayProbe && b.cfg.Probe*probeDraws <= probeWorth && !b.mute
+	return b.cfg.MayProbe && b.cfg.Probe*probeDraws <= probeWorth && !b.mute && !b.deaf()
 }
 
+// deaf tells that no probe has been answered for a while, though some were sent: then nobody waits for any.
+func (b *Balancer) deaf() bool { return b.askedAt > 0 && b.now-b.askedAt > b.period }
+
 // draws is how many hosts are drawn for a request.
 func (b *Balancer) draws() int {
 	if b.probing() {
@@ -324,9 +313,9 @@
 // Checked is the end of a probe.
 func (b *Balancer) Checked(now Time, id HostID, out Outcome, took Span, rep *Report) {
 	b.now = now
-	if h := b.byID[id]; h != nil && out == OK && rep != nil {
+	if h := b.byID[id]; h != nil && out == OK {
 		b.observe(h, rep)
-		b.mute = rep.Outstanding < 0
+		b.mute, b.askedAt = rep == nil || rep.Outstanding < 0, 0
 		b.probeTook += smoothing * (float64(took) - b.probeTook)
 		b.release()
 	}
@@ -354,11 +343,16 @@
 
 // lastStart is when a held request is refused, as it would be late: a refusal before the aim costs less.
 func (b *Balancer) lastStart(r *request) Time {
+	c := &b.classes[r.class]
+	need := c.mean // with the time in queues, which no report has told
+	if c.answers > 0 {
+		need = r.size * min(c.work, float64(b.cfg.Classes[r.class].Aim)/2)
+	}
 	till := r.aimAt
 	if len(r.tries) > 0 && b.cfg.Classes[r.class].LateShare > 0 {
 		till = r.deadline
 	}
-	last := till - max(Span(b.classes[r.class].mean), 2*b.cfg.Tick)
+	last := till - max(Span(need), 2*b.cfg.Tick)
 	if b.over && len(r.tries) == 0 { // newer ones go first: the sooner its client hears, the more it has left
 		last = min(last, r.halfAt)
 	}
@@ -395,10 +389,6 @@
 	return float64(m.n+1) <= slots || float64(m.n) < slots && m.add(b.now, 0, slots, b.horizon(slots)) < slots
 }
 
-func (b *Balancer) horizon(slots float64) Span {
-	return max(b.period, Span(12*float64(b.silence)/max(slots, 1e-3))) // long enough for a few requests
-}
-
 // place sends one held request of a tenant. Its class is drawn by what one is worth for the time it takes: in
 // an overload the most is served so, and none is left out.
 func (b *Balancer) place(i int, lent bool) bool {
@@ -450,6 +440,7 @@
 
 // ask probes the hosts drawn for a request, which waits for the slowest but not for ever.
 func (b *Balancer) ask(r *request) {
+	b.askedAt = cmp.Or(b.askedAt, b.now)
 	r.asked, r.askTill = b.now, b.now+max(Span(4*b.probeTook), 2*b.cfg.Tick)
 	for _, h := range r.drawn {
 		b.act.Probe(h.ID)
@@ -497,7 +488,11 @@
 	if h.out.n == 0 { // from here on it owes an answer
 		h.answered = b.now
 	}
-	r.tries = append(r.tries, attempt{h, h.Zone, h.Cell, b.now, true, true})
+	f := b.foresee(r, h)
+	if f.late = f.took*b.slowness(h) > float64(r.aimAt-b.now); f.late {
+		b.triedAt = b.now
+	}
+	r.tries = append(r.tries, attempt{h, h.Zone, h.Cell, b.now, true, true, f})
 	b.book(r, h, 1, Settlement{})
 	h.tokens--
 	if h.report.Outstanding >= 0 {
@@ -648,7 +643,9 @@
 
 // move changes a host's limit by one answer, or by a part of one that came from another host.
 func (b *Balancer) move(h *host, excess, part float64) {
-	if excess > 0 {
+	if h.cores > 0 { // what it holds is told, and what it may hold is foreseen
+		h.limit = max(h.cores+1, h.cores*b.aim*fill/(b.work*b.slowness(h)))
+	} else if excess > 0 {
 		h.limit = max(limitLeast*b.part(h), h.limit-part*limitGain*excess*h.limit/2)
 	} else if n := b.used(h); max(n, h.out.mean) >= inUse*b.limitOf(h) &&
 		(part == 1 || b.out.mean+1 >= inUse*b.capacity) {
@@ -682,6 +679,7 @@
 	for _, h := range fresh {
 		// Taken to be like the others. Its first token comes at a chance time: hundreds hear of it together.
 		h.limit, h.fails, h.outTill, h.bad, h.outs = b.typical*b.part(h), 0, 0, 0, 0
+		h.slow, h.cores = 1, 0
 		h.tokens, h.tokensAt, h.answered = b.random(), b.now, b.now
 		h.rank = mix(cmp.Or(h.Key, uint64(h.ID)))
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,9 @@
 		Specifics struct {
 			WarmKeys bool `json:"warm_keys"`
 		} `json:"specifics"`
+		Clients struct {
+			Marks bool `json:"marks_retry"`
+		} `json:"clients"`
 		Report struct {
 			Fields []string `json:"fields"`
 		} `json:"report"`
@@ -62,7 +65,7 @@
 		MayDuplicate: s.Limits.Duplicate, MayCancel: s.Limits.Cancelling, MayProbe: s.Limits.Probing,
 		AskDiscovery: s.Discovery == "ask", AskEvery: s.Rules.AskEvery, ColdFrom: s.Rules.ColdFrom,
 		ColdRamp: s.Rules.Ramp, ColdMultiple: s.Rules.Multiple, ColdWindow: s.Rules.Window,
-		CrossZone: s.Prices.CrossZone, WarmKeys: s.Specifics.WarmKeys, Probe: s.Prices.Probe}
+		CrossZone: s.Prices.CrossZone, WarmKeys: s.Specifics.WarmKeys, Marked: s.Clients.Marks, Probe: s.Prices.Probe}
 	if s.Discovery != "ask" && s.Discovery != "push" {
 		return c, nil, fmt.Errorf("discovery %q is neither push nor ask", s.Discovery)
 	}
--- a/state.go
+++ b/state.go
@@ -17,6 +17,8 @@
 	per      []int     // the same by tenant
 	slots    []float64 // its row of the slot matrix
 	limit    float64   // what it may hold of all gateways together
+	cores    float64   // requests that it works on at once, as far as was seen; 0: not told
+	slow     float64   // how much longer it takes than is usual
 	rank     uint64    // its place in the order of all gateways
 	fails    int
 	bad      float64 // share of its answers that were errors, of late
@@ -46,12 +48,15 @@
 	sent       Time
 	open       bool
 	ran        bool // may have run
+	foreseen   foresight
 }
 
 type request struct {
 	id                      ReqID
 	class, tenant           int
-	key                     uint64 // 0: of no use
+	key                     uint64  // 0: of no use
+	hint                    float64 // its client's guess, as the logarithm of what it is of the usual one
+	size                    float64 // its work, as a part of what is usual in its class
 	aimAt, halfAt, deadline Time
 	tries                   []attempt
 	open                    int
@@ -79,6 +84,11 @@
 	base, mean float64
 	patience   [20]int // requests by how long the client waits, in steps of the class's deadline
 	sum, n     float64 // of this control period
+	work       float64 // time that a host takes for it alone, where hosts tell what they hold
+	answers    float64 // from which that was learned
+	hint       float64 // mean logarithm of the clients' guesses
+	hintXX     float64 // squares of their distances from that, and products with those of the work
+	hintXY     float64
 }
 
 // meter counts what is in flight, and its mean over about a period.
@@ -119,6 +129,7 @@
 	over      bool // overload mode
 	out       meter
 	mute      bool    // probes do not tell what hosts hold
+	askedAt   Time    // the first request's probes since one was answered; 0: none
 	probeTook float64 // mean time of a probe
 	size      int     // of the subset
 	wanted    float64 // sum of U_PR, 1 at least
@@ -128,6 +139,9 @@
 	controlAt Time
 	period    Span // T_d
 	capacity  float64
+	triedAt   Time    // when a request was last sent whose answer was foreseen as late
+	work      float64 // mean over classes
+	aim       float64
 	silence   Span    // how long a host may owe an answer
 	weight    float64 // mean of the hosts listed
 	typical   float64 // mean limit of warm hosts of mean weight
@@ -169,7 +183,9 @@
 		}
 		b.period = max(b.period, 2*c.Aim)
 		quarter := float64(c.Aim) / 4
-		b.classes = append(b.classes, classState{base: quarter, mean: quarter})
+		b.classes = append(b.classes, classState{base: quarter, mean: quarter, work: quarter})
+		b.aim += float64(c.Aim) / float64(len(cfg.Classes))
+		b.work = b.aim / 4
 	}
 	b.silence, b.wanted, b.gains = b.period/2, 1, make([]float64, len(cfg.Classes))
 	cfg.MaxAttempts, cfg.Self = max(cfg.MaxAttempts, 1), max(cfg.Self, 0)
@@ -223,7 +239,7 @@
 		copy(slots, h.slots)
 		h.per, h.slots = per, slots
 	}
-	b.cfg, b.classes, b.tenants, b.period = next.cfg, next.classes, next.tenants, next.period
+	b.cfg, b.classes, b.tenants, b.period, b.aim = next.cfg, next.classes, next.tenants, next.period, next.aim
 	b.turns, b.gains, b.blocked = next.turns, next.gains, next.blocked
 	b.control()
 	b.release()
@@ -344,6 +360,24 @@
 	return last
 }
 
+// drawFor draws by weight: by chance, or by key where hosts work less for one that they have met. Over all
+// keys hosts still stand by weight, but a key meets the same ones, at whichever gateway it comes in.
+func (b *Balancer) drawFor(key uint64, from []*host) int {
+	if key == 0 {
+		return b.draw(b.weights[:len(from)])
+	}
+	first, least := -1, math.Inf(1)
+	for i, h := range from { // weighted rendezvous; -ln u is 1-u at least: that spares most logarithms
+		u, w := float64(mix(key^h.rank)>>11+1)/(1<<53), b.weights[i]
+		if w > 0 && 1-u < least*w {
+			if x := -math.Log(u) / w; x < least {
+				first, least = i, x
+			}
+		}
+	}
+	return first
+}
+
 func (b *Balancer) forget(r *request) {
 	if r.done && r.open == 0 {
 		delete(b.reqs, r.id)
@@ -359,6 +393,7 @@
 		h.reportAt = b.now
 	}
 	h.report, h.heardAt = *rep, b.now
+	h.noteCores(rep)
 }
 
 func (b *Balancer) mode() int {
@@ -585,6 +620,10 @@
 	return len(t.held) > 0
 }
 
+func (b *Balancer) horizon(slots float64) Span {
+	return max(b.period, Span(12*float64(b.silence)/max(slots, 1e-3))) // long enough for a few requests
+}
+
 // book counts an attempt in or out, with what its end brought.
 func (b *Balancer) book(r *request, h *host, n int, s Settlement) {
 	b.tenants[r.tenant].served += float64(s.Took)
