Survey drawn deployments, and mend stale capacity, late means and coarse ticks

(2) Once a class's mean was near its aim, lastStart lay before the arrival, and nothing was sent that would lower it. (4) Work that was foreseen counted the way to the host as work, where no probe tells; foreseeing is now for where probes tell. Change: move keeps the sum; need is half of the aim at most; ticks count up to an eighth and a quarter of the aim.

Tests: TestSurvey (24 draws and 8 finds), TestBlame, TestDeploymentsOnSockets, TestCapacityFollowsLimits, TestLateMeanKeepsNobodyOut, TestCoarseTickSparesTheAim.

--- a/balancer.go
+++ b/balancer.go
@@ -88,7 +88,8 @@
 	b.tenants[r.tenant].arrived++
 	end := r.deadline
 	if c.LateShare == 0 && b.cfg.MayCancel && r.aimAt > now {
-		end = r.aimAt - b.cfg.Tick - Span(b.way) // an answer past the aim is worth nothing: spare the host the work
+		// An answer past the aim is worth nothing: spare the host the work.
+		end = r.aimAt - min(b.cfg.Tick, (r.aimAt-now)/8) - Span(b.way)
 	}
 	b.act.WakeAt(Token(r.id)*wakeKinds+wakeEnd, max(end-now, 0))
 	b.hold(r, false)
@@ -343,16 +344,11 @@
 
 // lastStart is when a held request is refused, as it would be late: a refusal before the aim costs less.
 func (b *Balancer) lastStart(r *request) Time {
-	c := &b.classes[r.class]
-	need := c.mean // with the time in queues, which no report has told
-	if c.answers > 0 {
-		need = r.size * min(c.work, float64(b.cfg.Classes[r.class].Aim)/2)
-	}
-	till := r.aimAt
+	till, tick := r.aimAt, min(2*b.cfg.Tick, b.cfg.Classes[r.class].Aim/4)
 	if len(r.tries) > 0 && b.cfg.Classes[r.class].LateShare > 0 {
 		till = r.deadline
 	}
-	last := till - max(Span(need), 2*b.cfg.Tick)
+	last := till - max(Span(b.need(r)), tick)
 	if b.over && len(r.tries) == 0 { // newer ones go first: the sooner its client hears, the more it has left
 		last = min(last, r.halfAt)
 	}
@@ -612,19 +608,17 @@
 	}
 	// A standing queue slows a host for all and may choke it: latency is kept between uncongested and aim.
 	excess := min(took/target, 3) - 1
-	if u := h.report.Utilization; s.Outcome == OK && u >= 0 && b.now-h.reportAt < reportFresh*b.period {
-		// What the host says of all its work tells more than how long one answer took.
+	u := h.report.Utilization
+	told := s.Outcome == OK && u >= 0 && b.now-h.reportAt < reportFresh*b.period
+	if told { // what the host says of all its work tells more than how long one answer took
 		excess = min(max((u-busyFull)/(1-busyFull), -1), 1) + min(max(h.report.Backlog, 0), 1)
-		b.move(h, excess, 1)
-		return
-	}
-	if s.Outcome != OK {
+	} else if s.Outcome != OK {
 		excess *= cutWorth
 	}
 	// With few answers a host, they speak for the others too: what is learned is pooled.
 	b.move(h, excess, 1)
 	for _, o := range b.group {
-		if pool := 1 - b.rate*float64(b.period)/enough; o != h && pool > 0 {
+		if pool := 1 - b.rate*float64(b.period)/enough; !told && o != h && pool > 0 {
 			b.move(o, excess, pool)
 		}
 	}
@@ -643,7 +637,9 @@
 
 // move changes a host's limit by one answer, or by a part of one that came from another host.
 func (b *Balancer) move(h *host, excess, part float64) {
-	if h.cores > 0 { // what it holds is told, and what it may hold is foreseen
+	before := b.limitOf(h)
+	defer func() { b.capacity += b.limitOf(h) - before }() // a period may be long
+	if h.cores > 0 && b.probing() {                        // what it holds is told, and what it may hold is foreseen
 		h.limit = max(h.cores+1, h.cores*b.aim*fill/(b.work*b.slowness(h)))
 	} else if excess > 0 {
 		h.limit = max(limitLeast*b.part(h), h.limit-part*limitGain*excess*h.limit/2)
--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -46,6 +46,10 @@
 			{Name: "shrink", Usage: "reduce a case that breaks a rule to the fewest faults and calls", Arguments: file, ArgsUsage: "FILE",
 				Action: labShrink, Flags: []cli.Flag{seed, policies, &cli.IntFlag{Name: "runs", Value: 2000, Usage: "at most `N` runs"},
 					&cli.StringFlag{Name: "out", Usage: "write the reduced scenario to `FILE` instead of standard output"}}},
+			{Name: "survey", Usage: "play deployments drawn over all that the protocol allows; exit 1 if the module fails one", Action: labSurvey,
+				Flags: []cli.Flag{seed, &cli.IntFlag{Name: "draws", Value: 300, Usage: "`N` deployments, of seeds that count up from --seed"},
+					&cli.FloatFlag{Name: "margin", Value: 0.02, Usage: "of the worth by which the module may serve less than " + experiment.Plain},
+					jsonFlag}},
 			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
 				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
@@ -384,6 +388,46 @@
 	return nil
 }
 
+func labSurvey(ctx context.Context, cmd *cli.Command) error {
+	draws, margin := cmd.Int("draws"), cmd.Float("margin")
+	if draws < 1 || margin < 0 {
+		return fmt.Errorf("survey: --draws must be above 0 and --margin not below")
+	}
+	seeds := make([]uint64, draws)
+	for i := range seeds {
+		seeds[i] = cmd.Uint64("seed") + uint64(i)
+	}
+	all, err := experiment.Survey(ctx, seeds, margin, progress(cmd.Root().ErrWriter, "survey"))
+	if err != nil {
+		return err
+	}
+	var failed []experiment.Surveyed
+	for _, d := range all {
+		if d.Fault != "" {
+			failed = append(failed, d)
+		}
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd.Root().Writer, all); err != nil {
+			return err
+		}
+	} else {
+		t := table(cmd)
+		fmt.Fprintf(t, "seed\tmodule\t%s\tfails by\tsettings that it takes\n", experiment.Plain)
+		for _, d := range failed {
+			fmt.Fprintf(t, "%d\t%.3f\t%.3f\t%s %v\t%s\n", d.Seed, d.Module, d.Plain, d.Fault, d.Broken, strings.Join(d.Turned, "; "))
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.Root().Writer, "%d draws, %d failed\n", draws, len(failed))
+	}
+	if len(failed) > 0 {
+		return no("%d of %d deployments fail", len(failed), draws)
+	}
+	return nil
+}
+
 func labVerify(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Float("bound") <= 0 || cmd.Float("effort") <= 0 {
 		return fmt.Errorf("verify: --bound and --effort must be above 0")
--- /dev/null
+++ b/cmd/tulipctl/survey_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/lab/world"
+	"tulipglade/internal/load"
+)
+
+// A dozen deployments that nobody has seen, as processes of the real program behind a front, on sockets: every call ends, most
+// are served in time, and no rule is broken. The lab plays hundreds of them (TestSurvey); here it counts that the node carries
+// out what the module asks for.
+func TestDeploymentsOnSockets(t *testing.T) {
+	node := filepath.Join(t.TempDir(), "tulipglade")
+	if out, err := exec.Command("go", "build", "-o", node, "../tulipglade").CombinedOutput(); err != nil {
+		t.Fatalf("the node does not build: %v\n%s", err, out)
+	}
+	played := 0
+	for seed := uint64(1); played < 12; seed++ {
+		d := scenario.Draw(seed)
+		sc := d.Scenario()
+		if sc.Classes[0].Work < 40 || sc.Classes[0].Deadline > 5000 { // sockets have delays of their own, and tests no time
+			continue
+		}
+		played++
+		// Few calls, whatever the fleet could do: that the machine is busy must not decide.
+		sc.Seconds, sc.WarmUp, sc.Load.PerS = 2, 0, min(60, sc.Load.Level*rate(sc))
+		if err := sc.Check(); err != nil {
+			t.Fatal(err)
+		}
+		t.Run(strings.Join(d.Turned(), "; "), func(t *testing.T) {
+			f, err := startWorld(t.Context(), sc, seed, nil, node, t.TempDir(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() {
+				if err := f.done(); err != nil {
+					t.Error(err)
+				}
+			}()
+			if err := f.await(t.Context(), sc.Nodes.Count); err != nil {
+				t.Fatal(err)
+			}
+			var targets []string
+			for site := range min(len(sc.Fleet.Sites), sc.Nodes.Count) {
+				targets = append(targets, f.w.Front(site))
+			}
+			live := world.NewLive(sc, seed, quiet{})
+			r, err := load.Run(t.Context(), load.Plan{Scenario: sc, Seed: seed, Targets: targets, Capacity: live.Capacity()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			truth := f.w.Report()
+			if truth.Twice+truth.AfterDrain+truth.Unreadable > 0 {
+				t.Errorf("rules broken: %d twice, %d after a drain, %d unreadable", truth.Twice, truth.AfterDrain, truth.Unreadable)
+			}
+			if served := r.Outcomes["served"] + r.Outcomes["late"]; float64(served) < 0.7*float64(r.Calls) {
+				t.Errorf("%d of %d calls served: %v", served, r.Calls, r.Outcomes)
+			}
+			if probing := sc.Rules.MayProbe && sc.Rules.Probe < 0.003; !probing && truth.Probes > 0 {
+				t.Errorf("%d probes, though they are forbidden or dear", truth.Probes)
+			} else if probing && truth.Probes == 0 {
+				t.Error("no probes, though they are cheap")
+			}
+		})
+	}
+}
+
+// rate is how many calls a second the fleet can do.
+func rate(sc *scenario.Scenario) float64 {
+	cores, work, shares := 0.0, 0.0, 0.0
+	for _, k := range sc.Fleet.Kinds {
+		cores += k.Share * float64(k.Cores) * float64(sc.Fleet.Boxes)
+	}
+	for _, c := range sc.Classes {
+		work, shares = work+c.Share*c.Work, shares+c.Share
+	}
+	return cores * 1000 * shares / work
+}
--- a/foresee.go
+++ b/foresee.go
@@ -92,7 +92,7 @@
 // foresee is how long an answer would take if the request went to a host now: took 0 where hosts tell too little. It is for a
 // host of usual speed; slowness is the factor for this one.
 func (b *Balancer) foresee(r *request, h *host) foresight {
-	if h.cores == 0 {
+	if h.cores == 0 || !b.probing() {
 		return foresight{}
 	}
 	held := b.holds(h)
@@ -101,6 +101,16 @@
 
 func (b *Balancer) slowness(h *host) float64 { return h.slow / math.Sqrt(b.warmth(h)) }
 
+// need is the time that a request takes on a host that has nothing else to do, or the mean of its class with the time in queues
+// where hosts tell too little. It is half of the aim at most: only answers bring it down, so it must not keep all requests out.
+func (b *Balancer) need(r *request) float64 {
+	c, half := &b.classes[r.class], float64(b.cfg.Classes[r.class].Aim)/2
+	if c.answers > 0 {
+		return r.size * min(c.work, half)
+	}
+	return min(c.mean, half)
+}
+
 // noteAnswer learns from an answer, or from one that did not come in so long.
 func (b *Balancer) noteAnswer(r *request, a *attempt, took float64, came bool) {
 	h, f, size, c := a.host, a.foreseen, r.size, &b.classes[r.class]
--- a/foresee_test.go
+++ b/foresee_test.go
@@ -245,3 +245,50 @@
 		}
 	}
 }
+
+// Once answers have been late in the mean, fresh requests still go out: only their answers bring the mean down.
+func TestLateMeanKeepsNobodyOut(t *testing.T) {
+	g := start(t, oneClass(), hosts(4)...)
+	g.b.classes[0].mean = 190 * ms // of an aim of 200
+	g.request(1, 0, 0)
+	g.run(50 * ms)
+	if len(g.tries[1]) != 1 || g.final[1] != "" {
+		t.Errorf("%d attempts, final answer %q", len(g.tries[1]), g.final[1])
+	}
+}
+
+// An end of the gateway's own comes shortly before the aim, however coarse its clock: a tick of half the time left would end
+// requests that are about to be answered.
+func TestCoarseTickSparesTheAim(t *testing.T) {
+	cfg := oneClass()
+	cfg.Tick = 5 * ms
+	cfg.Classes[0].Aim, cfg.Classes[0].Deadline = 10*ms, 10*ms
+	g := start(t, cfg, hosts(4)...)
+	g.request(1, 0, 0)
+	g.run(8 * ms)
+	if len(g.tries[1]) != 1 || g.final[1] != "" {
+		t.Errorf("after 8 of 10 ms: %d attempts, final answer %q", len(g.tries[1]), g.final[1])
+	}
+	g.run(3 * ms)
+	wantFinal(t, g, 1, "decline")
+}
+
+// As limits move, what all hosts may hold moves with them: with long aims the next period is far away.
+func TestCapacityFollowsLimits(t *testing.T) {
+	cfg := oneClass()
+	cfg.Classes[0].Aim, cfg.Classes[0].Deadline = 10000*ms, 20000*ms
+	g := start(t, cfg, hosts(4)...)
+	for id := ReqID(1); id <= 200; id++ {
+		g.request(id, 0, 0)
+	}
+	before, sum := g.b.capacity, 0.0
+	for id := ReqID(1); id <= 20; id++ {
+		g.settle(id, 0, OK) // at once: limits rise
+	}
+	for _, h := range g.b.group {
+		sum += g.b.limitOf(h)
+	}
+	if math.Abs(g.b.capacity-sum) > 1e-6 || sum <= before {
+		t.Errorf("capacity %.2f, was %.2f, limits sum up to %.2f", g.b.capacity, before, sum)
+	}
+}
--- a/internal/clients/arrivals.go
+++ b/internal/clients/arrivals.go
@@ -33,6 +33,7 @@
 const (
 	drawWork  = 0
 	drawRetry = 2
+	drawHint  = 4
 )
 
 // Schedule is all calls of a run, in order. It is fixed by scenario, seed and capacity before the first is made and
@@ -92,6 +93,21 @@
 	return s, nil
 }
 
+// roughHint is the standard deviation, as a lognormal's cv, of what a rough hint is to the work.
+const roughHint = 0.6
+
+// Hint is what a client guesses of a call's work, in µs; 0: nothing. Each try of a call has the same.
+func Hint(sc *scenario.Scenario, seed uint64, c *Call) int64 {
+	switch sc.Clients.Hints {
+	case "exact":
+		return int64(c.Work)
+	case "rough":
+		d := des.NewDraws(seed, c.N, drawHint)
+		return int64(c.Work * Lognormal(roughHint, d.Norm()))
+	}
+	return 0
+}
+
 // MeanWork is the work of a call in the mean, in µs.
 func MeanWork(sc *scenario.Scenario) float64 {
 	work, shares := 0.0, 0.0
--- /dev/null
+++ b/internal/lab/experiment/survey_test.go
@@ -0,0 +1,61 @@
+package experiment
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tulipglade/internal/lab/scenario"
+)
+
+// found are draws on which the module once served far less than the plain policy, each for a fault that has been mended.
+var found = []uint64{110, 199, 219, 223, 272, 356, 418, 447}
+
+// The module holds on deployments that nobody has seen: no rule broken, and not less served than by the plainest policy. The
+// draws are the same each time; `tulipctl lab survey` plays others.
+func TestSurvey(t *testing.T) {
+	seeds := slices.Clone(found)
+	for seed := range uint64(24) {
+		seeds = append(seeds, seed+1)
+	}
+	all, err := Survey(t.Context(), seeds, 0.03, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	more := 0
+	for _, d := range all {
+		if d.Fault != "" {
+			t.Errorf("draw %d: %s, %.3f against %.3f, %v: it takes %v", d.Seed, d.Fault, d.Module, d.Plain, d.Broken, d.Turned)
+		}
+		if d.Module > d.Plain {
+			more++
+		}
+	}
+	t.Logf("%d draws; on %d the module serves more", len(all), more)
+}
+
+// What a failing draw is blamed on is what it takes to fail, and nothing else.
+func TestBlame(t *testing.T) {
+	knob := func(name string) int {
+		for i, k := range scenario.Knobs {
+			if k.Name == name {
+				return i
+			}
+		}
+		t.Fatal(name)
+		return 0
+	}
+	report, probes := knob("report"), knob("probes")
+	d := make(scenario.Drawn, len(scenario.Knobs))
+	for i, k := range scenario.Knobs {
+		d[i] = len(k.Settings) - 1
+	}
+	got, err := blame(d, func(d scenario.Drawn) (bool, error) { return d[report] > 0 && d[probes] > 0, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"report: held and util", "probes: dear"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/lab/scenario/draw.go
@@ -0,0 +1,218 @@
+package scenario
+
+import (
+	"math/rand/v2"
+)
+
+// Knob is one thing in which deployments differ, and its settings; the first is the plain one.
+type Knob struct {
+	Name     string
+	Settings []Setting
+}
+
+// Setting is one position of a knob.
+type Setting struct {
+	Name string
+	set  func(*Scenario)
+}
+
+// Drawn is a deployment: a position for each of the knobs, by their order.
+type Drawn []int
+
+// Knobs are what a survey turns. They are set in this order, so later ones may build on earlier ones.
+var Knobs = []Knob{
+	{"cores", []Setting{{"4", cores(4, 4)}, {"1", cores(1, 1)}, {"2 and 1", cores(2, 1)}, {"16", cores(16, 16)}, {"8 and 3", cores(8, 3)}}},
+	{"speed", []Setting{{"alike", func(*Scenario) {}}, {"apart", func(s *Scenario) {
+		for i := range s.Fleet.Kinds {
+			s.Fleet.Kinds[i].Speed = Range{0.6, 1.4}
+		}
+	}}}},
+	{"boxes", []Setting{{"12", boxes(12)}, {"5", boxes(5)}, {"9", boxes(9)}, {"30", boxes(30)}}},
+	{"nodes", []Setting{{"2", nodes(2)}, {"1", nodes(1)}, {"4", nodes(4)}, {"9", nodes(9)}}},
+	{"sites", []Setting{{"1", sites("a")}, {"2", sites("a", "b")}, {"3", sites("a", "b", "c")}, {"4", sites("a", "b", "c", "d")}}},
+	{"skew", []Setting{{"none", func(*Scenario) {}}, {"0.5", func(s *Scenario) { s.Load.SiteSkew = 0.5 }}}},
+	{"work", []Setting{{"40 ms", scale(1)}, {"4 ms", scale(0.1)}, {"400 ms", scale(10)}, {"10 ms", scale(0.25)}}},
+	{"spread", []Setting{{"exp", func(*Scenario) {}}, {"constant", dist("constant", 0)}, {"lognormal of cv 1.5", dist("lognormal", 1.5)}}},
+	{"aim", []Setting{{"10 times the work", aim(10)}, {"4 times", aim(4)}, {"50 times", aim(50)}}},
+	{"deadline", []Setting{{"2.5 times the aim", deadline(2.5)}, {"the aim", deadline(1)}, {"10 times", deadline(10)}}},
+	{"late", []Setting{{"worth nothing", func(*Scenario) {}}, {"worth 0.3", func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].LateShare = 0.3
+		}
+	}}}},
+	{"keys", []Setting{{"all", scope("all")}, {"rack", scope("rack")}, {"site", scope("site")}}},
+	{"window", []Setting{{"5 deadlines", window(5)}, {"a deadline", window(1)}, {"a tenth", window(0.1)}}},
+	{"tenants", []Setting{{"1", tenants(1)}, {"3", tenants(0.5, 0.3, 0.2)}, {"9", tenants(0.28, 0.17, 0.16, 0.1, 0.1, 0.05, 0.05, 0.05, 0.04)}}},
+	{"list", []Setting{{"pushed", func(s *Scenario) { s.Discovery.Ask = false }}, {"asked", func(s *Scenario) { s.Discovery.Ask = true }}}},
+	{"report", []Setting{{"queue and util", fields("queue", "util")}, {"none", func(s *Scenario) { s.Fleet.Report.Every = 0 }},
+		{"all", fields("held", "queue", "util")}, {"held", fields("held")}, {"queue", fields("queue")}, {"util", fields("util")},
+		{"held and queue", fields("held", "queue")}, {"held and util", fields("held", "util")}}},
+	{"report by", []Setting{{"answers", func(*Scenario) {}}, {"probes", func(s *Scenario) { s.Fleet.Report.By = "probes" }}}},
+	{"report age", []Setting{{"a second", func(*Scenario) {}}, {"3 ms", func(s *Scenario) {
+		if r := &s.Fleet.Report; r.Every > 0 {
+			r.Every, r.Delay = 3, 0.5
+		}
+	}}}},
+	{"probes", []Setting{{"forbidden", func(*Scenario) {}}, {"cheap", probes(0.002)}, {"dear", probes(0.05)}}},
+	{"hints", []Setting{{"none", hints("none")}, {"rough", hints("rough")}, {"exact", hints("exact")}}},
+	{"marks", []Setting{{"none", func(*Scenario) {}}, {"repeats", func(s *Scenario) { s.Clients.Marks = true }}}},
+	{"retries", []Setting{{"none", retries(0)}, {"1", retries(1)}, {"3", retries(3)}}},
+	{"patience", []Setting{{"the deadline", patience(1)}, {"half", patience(0.5)}}},
+	{"back-off", []Setting{{"as long as the aim", backoff(1)}, {"none", backoff(0)}}},
+	{"advice", []Setting{{"none", func(s *Scenario) { s.Clients.Heed = 0 }}, {"heeded", func(s *Scenario) { s.Clients.Heed = 0.9 }}}},
+	{"second copies", []Setting{{"no", func(*Scenario) {}}, {"allowed", func(s *Scenario) { s.Rules.MayDuplicate = true }}}},
+	{"cancelling", []Setting{{"allowed", func(s *Scenario) { s.Rules.MayCancel = true }}, {"no", func(s *Scenario) { s.Rules.MayCancel = false }}}},
+	{"attempts", []Setting{{"4", attempts(4)}, {"1", attempts(1)}}},
+	{"warm keys", []Setting{{"no", func(s *Scenario) { s.Fleet.Affinity.Gain, s.Load.Keys = 0, 0 }}, {"yes", func(s *Scenario) {
+		s.Fleet.Affinity, s.Load.Keys, s.Load.Zipf = Affinity{Gain: 0.45, Millis: 6000, KeysPerCore: 6}, 300, 0.8
+	}}}},
+	{"crowding", []Setting{{"no", func(s *Scenario) { s.Fleet.Overdrive = Overdrive{Slower: 1} }}, {"chokes", func(s *Scenario) {
+		s.Fleet.Overdrive = Overdrive{PerCore: 5, Over: 2000, Slower: 3, Below: 0.3, Rest: 3000, Most: 20000}
+	}}}},
+	{"load", []Setting{{"0.4", load(0.4)}, {"0.2", load(0.2)}, {"0.55", load(0.55)}}},
+	{"shape", []Setting{{"steady", func(*Scenario) {}}, {"wave", func(s *Scenario) { s.Load.Shape, s.Load.Swing, s.Load.Period = "wave", 0.3, 5 }}}},
+}
+
+func cores(of ...int) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Fleet.Kinds {
+			s.Fleet.Kinds[i].Cores = of[i]
+		}
+	}
+}
+
+func boxes(n int) func(*Scenario) { return func(s *Scenario) { s.Fleet.Boxes = n } }
+func nodes(n int) func(*Scenario) { return func(s *Scenario) { s.Nodes.Count = n } }
+func sites(names ...string) func(*Scenario) {
+	return func(s *Scenario) { s.Fleet.Sites = names }
+}
+
+// scale sets the work of classes, in times of 40 ms, and with it what else is of its order.
+func scale(by float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Work *= by
+		}
+	}
+}
+
+func dist(name string, cv float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Dist, s.Classes[i].CV = name, cv
+		}
+	}
+}
+
+func aim(by float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Aim = by * s.Classes[i].Work
+		}
+	}
+}
+
+func deadline(by float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Deadline = max(by*s.Classes[i].Aim, 1)
+		}
+	}
+}
+
+func scope(name string) func(*Scenario) {
+	return func(s *Scenario) { s.Classes[2].Scope = name }
+}
+
+func window(by float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i := range s.Classes {
+			s.Classes[i].Window = by * s.Classes[i].Deadline
+		}
+	}
+}
+
+func tenants(shares ...float64) func(*Scenario) {
+	return func(s *Scenario) {
+		for i, x := range shares {
+			s.Tenants = append(s.Tenants, Tenant{Name: string(rune('a' + i)), Share: x, Usage: 1})
+		}
+	}
+}
+
+func fields(names ...string) func(*Scenario) {
+	return func(s *Scenario) { s.Fleet.Report.Fields = names }
+}
+
+func probes(price float64) func(*Scenario) {
+	return func(s *Scenario) { s.Rules.MayProbe, s.Rules.Probe = true, price }
+}
+
+func hints(how string) func(*Scenario) { return func(s *Scenario) { s.Clients.Hints = how } }
+func retries(n int) func(*Scenario)    { return func(s *Scenario) { s.Clients.Retries = n } }
+func patience(x float64) func(*Scenario) {
+	return func(s *Scenario) { s.Clients.TryShare = x }
+}
+
+func backoff(aims float64) func(*Scenario) {
+	return func(s *Scenario) { s.Clients.Backoff = aims * s.Classes[0].Aim }
+}
+
+func attempts(n int) func(*Scenario)     { return func(s *Scenario) { s.Rules.MaxAttempts = n } }
+func load(level float64) func(*Scenario) { return func(s *Scenario) { s.Load.Level = level } }
+
+// Draw picks a position for each knob, the plain one a third of the time.
+func Draw(seed uint64) Drawn {
+	r := rand.New(rand.NewPCG(seed, 0x5eed))
+	d := make(Drawn, len(Knobs))
+	for i, k := range Knobs {
+		if r.IntN(3) > 0 {
+			d[i] = r.IntN(len(k.Settings))
+		}
+	}
+	return d
+}
+
+// drawnCalls is about how many calls a deployment's spell has, whatever its size and the work of a call.
+const drawnCalls = 3000
+
+// leastSpell is the shortest spell, in seconds: nodes have to learn, and lists to come.
+const leastSpell = 8
+
+// Scenario is a calm spell of the deployment.
+func (d Drawn) Scenario() *Scenario {
+	s := Default()
+	s.Name, s.WarmUp, s.Load.SiteSkew, s.Load.Swing, s.Clients.Impatient = "survey", 0, 0, 0, 0
+	s.Fleet.Kinds = []Kind{
+		{Name: "x", Share: 0.6, Speed: Range{1, 1}, Slots: 1, Queue: 12, ColdFrom: Range{0.2, 0.3}, Cold: Range{11000, 24000}, KeyedDrop: true},
+		{Name: "y", Share: 0.4, Speed: Range{0.9, 1}, Slots: 1, Queue: 8, ColdFrom: Range{0.2, 0.3}, Cold: Range{10000, 24000}, KeyedDrop: true}}
+	s.Classes = []Class{
+		{Name: "read", Share: 0.6, Work: 40, Dist: "exp", Noise: 0.2, Worth: 1, Effect: "repeatable"},
+		{Name: "once", Share: 0.2, Work: 50, Dist: "exp", Noise: 0.2, Worth: 5, Effect: "once"},
+		{Name: "keyed", Share: 0.2, Work: 60, Dist: "exp", Noise: 0.2, Worth: 3, Effect: "by_key", Scope: "all"}}
+	for i, k := range Knobs {
+		k.Settings[d[i]].set(&s)
+	}
+	cores, work, shares := 0.0, 0.0, 0.0
+	for _, k := range s.Fleet.Kinds {
+		cores += k.Share * float64(k.Cores) * float64(s.Fleet.Boxes)
+	}
+	for _, c := range s.Classes {
+		work, shares = work+c.Share*c.Work, shares+c.Share
+	}
+	s.Seconds = max(drawnCalls*work/shares/1000/(s.Load.Level*cores), leastSpell)
+	s.WarmUp = s.Seconds / 5 // a module that learns may
+	s.Load.Period = max(s.Seconds/3, 0.1)
+	return &s
+}
+
+// Turned names the knobs that are not in their plain position, with where they are.
+func (d Drawn) Turned() []string {
+	var out []string
+	for i, k := range Knobs {
+		if d[i] > 0 {
+			out = append(out, k.Name+": "+k.Settings[d[i]].Name)
+		}
+	}
+	return out
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -95,6 +95,10 @@
 	Delay float64 `toml:"delay_ms"`
 	Noise float64 `toml:"noise"` // standard deviation, as a share
 	Held  bool    `toml:"held"`  // they also tell how many requests they hold
+	// Fields are what they tell, of queue, util and held; empty: queue and util, and held if so said.
+	Fields []string `toml:"fields"`
+	// By is how: with answers and probes, or by probes alone.
+	By string `toml:"by"`
 }
 
 // Connections are those from nodes to boxes: one request at a time on each.
@@ -139,8 +143,10 @@
 	Jitter        float64 `toml:"backoff_jitter"` // share of the wait that is drawn anew
 	Heed          float64 `toml:"heed"`           // share that waits as Retry-After says
 	MaxRetryAfter float64 `toml:"max_retry_after_ms"`
-	Impatient     float64 `toml:"impatient"` // share that leaves before its time
-	RetryFailed   bool    `toml:"retry_any"` // naive: they repeat every class after any failure
+	Impatient     float64 `toml:"impatient"`     // share that leaves before its time
+	Hints         string  `toml:"hints"`         // of the work, with each try: none, rough or exact
+	Marks         bool    `toml:"marks_repeats"` // repeats say that they are
+	RetryFailed   bool    `toml:"retry_any"`     // naive: they repeat every class after any failure
 }
 
 // Class is a kind of request.
@@ -210,6 +216,7 @@
 	MayDuplicate bool    `toml:"may_duplicate"`
 	Peers        bool    `toml:"peers"`
 	CrossSite    float64 `toml:"price_cross_site"`
+	Probe        float64 `toml:"price_probe"`
 }
 
 // Goal weighs the parts of the one figure for a run.
@@ -229,12 +236,12 @@
 		Fleet: Fleet{Boxes: 12, Sites: []string{"east", "west", "south"}, Rack: 8,
 			Overdrive: Overdrive{PerCore: 5, Over: 2000, Slower: 3, Below: 0.3, Rest: 3000, Most: 20000},
 			Affinity:  Affinity{Gain: 0.45, Millis: 6000, KeysPerCore: 6},
-			Report:    Report{Every: 1000, Delay: 200, Noise: 0.05},
+			Report:    Report{Every: 1000, Delay: 200, Noise: 0.05, By: "answers"},
 			Conns:     Connections{PerCore: 750, Rtts: 2, Work: 1500, Idle: 30000, Timeout: 250}},
 		Nodes: Nodes{Count: 3, Tick: 5, Notice: 1500},
 		Load:  Load{Speed: 1, Level: 0.6, Shape: "steady", Keys: 300, Zipf: 0.8, SiteSkew: 0.3, Period: 20, Swing: 0.1, Peak: 2},
 		Clients: Clients{Retries: 2, TryShare: 0.6, Backoff: 200, Growth: 2, Jitter: 0.5, Heed: 0.8, MaxRetryAfter: 2000,
-			Impatient: 0.01},
+			Impatient: 0.01, Hints: "none"},
 		Net: Net{Same: 0.25, Cross: 5, Client: 0.7, Jitter: 0.2, Peer: Range{1, 30}, Silent: 500},
 		Discovery: Discovery{Ask: true, Notice: Range{1200, 4000}, Silent: Range{6000, 14000}, Spread: Range{20, 100},
 			PerS: 5, LinesPerS: 5000, Timeout: 3000, AskEvery: 10000, GoneAfter: 60000, DeltaLines: 200},
@@ -375,6 +382,7 @@
 		ordered("discovery.spread_ms", s.Discovery.Spread, 0, 1e6),
 		within("discovery.calls_per_s", s.Discovery.PerS, 1e-3, 1e9), within("discovery.lines_per_s", s.Discovery.LinesPerS, 1, 1e12),
 		within("discovery.timeout_ms", s.Discovery.Timeout, 1, 1e6), within("discovery.ask_every_ms", s.Discovery.AskEvery, 0, 1e9),
+		within("rules.price_probe", s.Rules.Probe, 0, 100),
 		within("rules.answer_grace_ms", s.Rules.AnswerGrace, 0, 1e5), within("rules.drain_grace_ms", s.Rules.DrainGrace, 0, 1e6),
 		within("rules.cold_from", s.Rules.ColdFrom, 0, 1), within("rules.cold_multiple", s.Rules.ColdMultiple, 0, 1000),
 		within("rules.cold_ramp_ms", s.Rules.ColdRamp, 0, 1e7), within("rules.cold_window_ms", s.Rules.ColdWindow, 0, 1e6),
@@ -394,6 +402,17 @@
 			return bad("fleet.sites", "%q at place %d is empty or there twice", name, i)
 		}
 	}
+	for i, f := range s.Fleet.Report.Fields {
+		if !slices.Contains(reportFields, f) {
+			return bad(fmt.Sprintf("fleet.report.fields[%d]", i), "%q is none of %v", f, reportFields)
+		}
+	}
+	if by := s.Fleet.Report.By; by != "answers" && by != "probes" {
+		return bad("fleet.report.by", "%q is neither answers nor probes", by)
+	}
+	if !slices.Contains([]string{"none", "rough", "exact"}, s.Clients.Hints) {
+		return bad("clients.hints", "%q is none of none, rough, exact", s.Clients.Hints)
+	}
 	switch shapes := []string{"steady", "constant", "wave", "ramp", "steps", "surge", "trace"}; {
 	case !slices.Contains(shapes, s.Load.Shape):
 		return bad("load.shape", "%q is none of %v", s.Load.Shape, shapes)
@@ -485,6 +504,34 @@
 	return sc
 }
 
+// reportFields are the names of what a report may tell.
+var reportFields = []string{"held", "queue", "util"}
+
+// Tells says whether reports have a field.
+func (r *Report) Tells(field string) bool {
+	switch {
+	case r.Every == 0:
+		return false
+	case len(r.Fields) > 0:
+		return slices.Contains(r.Fields, field)
+	}
+	return field != "held" || r.Held
+}
+
+// Told is a report with those fields only that are told.
+func (r *Report) Told(all tulipglade.Report) tulipglade.Report {
+	if !r.Tells("held") {
+		all.Outstanding = -1
+	}
+	if !r.Tells("queue") {
+		all.Backlog = -1
+	}
+	if !r.Tells("util") {
+		all.Utilization = -1
+	}
+	return all
+}
+
 // Site is the number of the site in which box or node number i stands.
 func (s *Scenario) Site(i int) int { return i % len(s.Fleet.Sites) }
 
@@ -509,7 +556,8 @@
 		MayDuplicate: s.Rules.MayDuplicate, MayCancel: s.Rules.MayCancel, MayProbe: s.Rules.MayProbe,
 		AskDiscovery: s.Discovery.Ask, AskEvery: us(s.Discovery.AskEvery), Tick: us(s.Nodes.Tick),
 		MaxRetryAfter: us(s.Clients.MaxRetryAfter), ColdFrom: s.Rules.ColdFrom, ColdRamp: us(s.Rules.ColdRamp),
-		ColdMultiple: s.Rules.ColdMultiple, ColdWindow: us(s.Rules.ColdWindow), CrossZone: s.Rules.CrossSite, WarmKeys: s.Fleet.Affinity.Gain > 0}
+		ColdMultiple: s.Rules.ColdMultiple, ColdWindow: us(s.Rules.ColdWindow), CrossZone: s.Rules.CrossSite,
+		Probe: s.Rules.Probe, Marked: s.Clients.Marks, WarmKeys: s.Fleet.Affinity.Gain > 0}
 	if s.Clients.Heed == 0 {
 		c.MaxRetryAfter = 0
 	}
--- a/internal/lab/world/box.go
+++ b/internal/lab/world/box.go
@@ -481,9 +481,10 @@
 	if d := float64(now - b.busyAt); d > 0 {
 		b.next.Utilization = min(noise(b.busy/d/float64(b.kind.Cores)), 1)
 		b.next.Backlog = math.Round(noise(float64(b.queued)))
-		if r.Held {
+		if r.Tells("held") {
 			b.next.Outstanding = math.Round(noise(float64(b.Held())))
 		}
+		b.next = r.Told(b.next)
 	}
 	b.busy, b.busyAt = 0, now
 	b.w.sim.After(&b.src, us(r.Delay), des.Event{To: b, Kind: boxPublish})
@@ -498,7 +499,9 @@
 		a.lose(b.w)
 		return
 	}
-	a.report = b.visible
+	if a.report = unknown; b.w.sc.Fleet.Report.By == "answers" {
+		a.report = b.visible
+	}
 	b.w.sim.After(&b.src, b.w.delay(&b.rand, b.site, n.site), des.Event{To: a.req.to, Kind: nodeReply, P: a, A: int64(out)})
 }
 
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -244,6 +244,12 @@
 	return Pending{Any: in.Pending, a: a}
 }
 
+// Probe is what the box at an address tells of itself when it is asked.
+func (l *Live) Probe(now des.Time, place int) tulipglade.Report {
+	l.w.sim.Run(origin + now)
+	return l.w.probed(l.w.boxes[place])
+}
+
 // Abandon is a node that has given an attempt up: its connection is closed.
 func (l *Live) Abandon(p Pending) {
 	p.a.open = false
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -213,7 +213,11 @@
 		n.believed = n.life != nil
 	case nodeProbed:
 		if p := e.P.(*probe); p.life == n.life {
-			n.policy.Checked(n.clock(now), p.box.id, p.out, now-p.sent, &p.rep)
+			rep := &p.rep
+			if p.rep == unknown {
+				rep = nil
+			}
+			n.policy.Checked(n.clock(now), p.box.id, p.out, now-p.sent, rep)
 		}
 	}
 }
@@ -228,7 +232,7 @@
 	n.w.judge.Taken(now, n.index, r.id, r.call.Class, r.deadline)
 	n.decisions++
 	n.policy.Request(n.clock(now), tulipglade.Arrival{ID: r.id, Key: r.call.Key, Class: r.call.Class, Tenant: r.call.Tenant,
-		Deadline: r.deadline + n.life.clockOff})
+		Deadline: r.deadline + n.life.clockOff, Hint: clients.Hint(n.w.sc, n.w.seed, &r.call.Call), Repeat: n.w.sc.Clients.Marks && r.try > 0})
 }
 
 // Try sends an attempt.
@@ -422,12 +426,18 @@
 	if n.w.parted(n.site, b.site) || b.silent || !b.up || b.frozen {
 		p.out, d = tulipglade.ConnectFailed, us(n.w.sc.Fleet.Conns.Timeout)
 	} else {
-		p.rep = tulipglade.Report{Outstanding: float64(b.Held()), Backlog: float64(b.queued), Utilization: -1}
+		p.rep = n.w.probed(b)
 	}
 	n.w.rec.probes++
 	n.w.sim.After(&n.src, d, des.Event{To: n, Kind: nodeProbed, P: p})
 }
 
+// probed is what a box tells when it is asked.
+func (w *World) probed(b *Box) tulipglade.Report {
+	return w.sc.Fleet.Report.Told(tulipglade.Report{Outstanding: float64(b.Held()), Backlog: float64(b.queued),
+		Utilization: b.visible.Utilization})
+}
+
 // Observe begins or ends a watch on the list.
 func (n *Node) Observe(on bool) {
 	if !on {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -411,6 +411,12 @@
 	dst = append(append(dst, class.Name...), "\r\nX-Customer: "...)
 	dst = append(append(dst, sc.Tenants[e.call.Tenant].Name...), "\r\nX-Expires-In-Ms: "...)
 	dst = strconv.AppendInt(dst, max((t.deadline-t.due)/1000, 1), 10)
+	if hint := clients.Hint(sc, r.plan.Seed, &e.call); hint > 0 {
+		dst = strconv.AppendInt(append(dst, "\r\nX-Size-Hint: "...), hint, 10)
+	}
+	if sc.Clients.Marks && e.tries > 1 {
+		dst = append(dst, "\r\nX-Second-Try: 1"...)
+	}
 	if effect == tulipglade.ByKey {
 		dst = append(dst, "\r\nIdempotency-Key: "...)
 		dst = fmt.Appendf(dst, "%016x%016x", r.nonce, e.call.N)
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -269,6 +269,14 @@
 				}
 			}
 		}
+		if answer := c.probe(&m); answer != nil {
+			if !c.hold() || !c.write(answer) || !m.KeepAlive {
+				return
+			}
+			buf = append(buf[:0], m.Rest(buf)...)
+			c.first = false
+			continue
+		}
 		x, refused := c.request(&m, buf)
 		if refused != 0 {
 			b.w.post(func() { b.w.ledger.sums.Unreadable++ })
@@ -347,6 +355,30 @@
 }
 
 // request hands a whole request to the box, or tells the status by which it is refused.
+// probe is the answer to a probe, beside the queue; nil: it is none. Where settings forbid them, paths of probes are not there.
+func (c *boxConn) probe(m *protocol.Message) []byte {
+	b, path := c.b, string(m.Target)
+	if path != "/health" && path != "/status/load" || !b.w.sc.Rules.MayProbe {
+		return nil
+	}
+	var answer []byte
+	b.w.ask(func() {
+		w, body := b.w, ""
+		w.ledger.sums.Probes++
+		if w.live.Life(b.place) != c.life {
+			return
+		}
+		if path == "/status/load" {
+			body = reportText(w.live.Probe(w.now(), b.place))
+		}
+		answer = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	})
+	if answer == nil { // the process that was asked has ended
+		answer = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
+	return answer
+}
+
 func (c *boxConn) request(m *protocol.Message, buf []byte) (*exchange, int) {
 	b := c.b
 	id := string(m.Get("x-trace-id"))
@@ -442,12 +474,8 @@
 	case tulipglade.Full:
 		status, extra, body = 503, "X-Never-Ran: 1\r\n", ""
 	}
-	if w.sc.Fleet.Report.Every > 0 && p.Report.Utilization >= 0 {
-		extra += fmt.Sprintf("Endpoint-Load-Metrics: TEXT queue=%.0f, util=%.3f", p.Report.Backlog, p.Report.Utilization)
-		if p.Report.Outstanding >= 0 {
-			extra += fmt.Sprintf(", inflight=%.0f", p.Report.Outstanding)
-		}
-		extra += "\r\n"
+	if text := reportText(p.Report); text != "" {
+		extra += "Endpoint-Load-Metrics: " + text + "\r\n"
 	}
 	head := ""
 	switch w.spoils(x) {
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -9,13 +9,40 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"tulipglade"
 	"tulipglade/internal/faults"
 )
 
+// reportFields are what a report may hold: as scenarios name it, as settings do, and as it is written on sockets.
+var reportFields = []struct {
+	scenario, setting, wire string
+	of                      func(tulipglade.Report) float64
+}{
+	{"held", "outstanding", "inflight", func(r tulipglade.Report) float64 { return r.Outstanding }},
+	{"queue", "backlog", "queue", func(r tulipglade.Report) float64 { return r.Backlog }},
+	{"util", "utilization", "util", func(r tulipglade.Report) float64 { return r.Utilization }},
+}
+
+// reportText is a report as it is written, empty where it tells nothing.
+func reportText(r tulipglade.Report) string {
+	var parts []string
+	for _, f := range reportFields {
+		if v := f.of(r); v >= 0 {
+			parts = append(parts, f.wire+"="+strconv.FormatFloat(v, 'f', -1, 64))
+		}
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "TEXT " + strings.Join(parts, ", ")
+}
+
 // NodeConfig is the configuration file of a node in this world, as the platform would write it.
 func (w *World) NodeConfig(node int, limits NodeLimits) ([]byte, error) {
 	type obj = map[string]any
@@ -24,9 +51,10 @@
 	settings := obj{"discovery": "push", "me": node, "my_zone": sc.Site(node), "peers_total": sc.Nodes.Count, "zones": sc.Fleet.Sites,
 		"tick_us": us(sc.Nodes.Tick),
 		"limits": obj{"max_attempts": sc.Rules.MaxAttempts, "may_duplicate": sc.Rules.MayDuplicate, "cancelling": sc.Rules.MayCancel,
-			"probing": false, "retry_after": sc.Clients.Heed > 0, "max_retry_after_us": us(sc.Clients.MaxRetryAfter), "max_open": limits.MaxOpen,
+			"probing": sc.Rules.MayProbe, "retry_after": sc.Clients.Heed > 0, "max_retry_after_us": us(sc.Clients.MaxRetryAfter), "max_open": limits.MaxOpen,
 			"connect_timeout_us": us(sc.Fleet.Conns.Timeout), "keepalive_us": us(sc.Fleet.Conns.Idle)},
-		"prices": obj{"cross_zone": sc.Rules.CrossSite},
+		"prices":  obj{"cross_zone": sc.Rules.CrossSite, "probe": sc.Rules.Probe},
+		"clients": obj{"marks_retry": sc.Clients.Marks}, "specifics": obj{"warm_keys": sc.Fleet.Affinity.Gain > 0},
 		"rules": obj{"ask_every_us": us(sc.Discovery.AskEvery), "cold_from": sc.Rules.ColdFrom, "ramp_time_us": us(sc.Rules.ColdRamp),
 			"overload_factor": sc.Rules.ColdMultiple, "fall_us": us(sc.Rules.ColdWindow), "drain_grace_us": us(sc.Rules.DrainGrace),
 			"grace_to_answer_us": us(sc.Rules.AnswerGrace)},
@@ -34,14 +62,16 @@
 	if sc.Discovery.Ask {
 		settings["discovery"] = "ask"
 	}
-	fields := []string{}
-	if sc.Fleet.Report.Every > 0 {
-		fields = append(fields, "utilization", "backlog")
-		if sc.Fleet.Report.Held {
-			fields = append(fields, "outstanding")
+	fields, how := []string{}, "silent"
+	for _, f := range reportFields {
+		if sc.Fleet.Report.Tells(f.scenario) {
+			fields, how = append(fields, f.setting), "piggyback"
 		}
 	}
-	settings["report"] = obj{"fields": fields, "how": "piggyback"}
+	if len(fields) > 0 && sc.Fleet.Report.By == "probes" {
+		how = "pull"
+	}
+	settings["report"] = obj{"fields": fields, "how": how}
 	var profiles, orgs []obj
 	scopes := map[string]string{"": "all", "all": "all", "site": "zone", "rack": "cell"}
 	for _, c := range sc.Classes {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -345,6 +345,7 @@
 	Unreadable  int64       `json:"unreadable"`  // requests that were not what PROTOCOL says
 	Connections int64       `json:"connections"` // made to boxes
 	Boxes       []BoxReport `json:"boxes"`
+	Probes      int64       `json:"probes"`
 }
 
 // BoxReport is one address's part of it.
