--- a/internal/node/probe_test.go
+++ b/internal/node/probe_test.go
@@ -217,3 +217,65 @@
 	hints++
 	return fmt.Sprintf("GET /read HTTP/1.1\r\nHost: x\r\nX-Trace-Id: hint%d\r\nX-Customer: t\r\n%s\r\n", hints, field)
 }
+
+// A probe is out as its host drains, goes, or starts anew, or as the node itself leaves: the module hears of it once all the same,
+// nothing waits for it, and what the host says then is no news of its successor's.
+func TestProbeInFlight(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state protocol.State
+		boot  int64
+	}{{"drains", protocol.Terminating, 0}, {"has gone", protocol.Terminated, 0}, {"is another process", protocol.InService, 7}} {
+		a, arrived, release := waits(t)
+		n, _ := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { mayProbe(s); s.ConnectTimeout = 10_000_000 })
+		m := listen(n)
+		on(n, func() { n.Probe(n.byUID["a"].id) })
+		<-arrived
+		next := target("a", a)
+		next.State, next.BootMs = c.state, c.boot
+		n.Members(protocol.List{Rev: 2, Targets: []protocol.Target{next}}, false)
+		on(n, func() {
+			n.Probe(n.byUID["a"].id)
+			if h := n.byUID["a"]; c.state != protocol.InService && h.dials+len(h.waiting) > 0 {
+				t.Errorf("%s: asked again", c.name)
+			}
+		})
+		close(release)
+		first, second := nextOf(t, m), nextOf(t, m)
+		if c.state != protocol.InService && first != "80" && second != "80" {
+			t.Errorf("%s: outcomes %q and %q", c.name, first, second)
+		}
+		until(n, func() bool { return n.byUID["a"].probes == 0 })
+		if len(m.probes) > 0 {
+			t.Errorf("%s: a third outcome", c.name)
+		}
+	}
+}
+
+// waits is a backend that answers nobody until it is released.
+func waits(t *testing.T) (a *app, arrived chan bool, release chan bool) {
+	arrived, release = make(chan bool, 10), make(chan bool)
+	return newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- true
+		<-release
+		serve(w, r)
+	}), arrived, release
+}
+
+func nextOf(t *testing.T, m *told) string { return next(t, m.probes) }
+
+// A node that leaves does not wait for its probes.
+func TestDrainWaitsForNoProbe(t *testing.T) {
+	a, arrived, release := waits(t)
+	defer close(release)
+	n, _ := start(t, []protocol.Target{target("a", a)}, func(s *Settings) { mayProbe(s); s.ConnectTimeout = 60_000_000 })
+	on(n, func() { n.Probe(n.byUID["a"].id) })
+	<-arrived
+	drained := make(chan struct{})
+	n.Drain(0, func() { close(drained) })
+	select {
+	case <-drained:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the drain waits for a probe")
+	}
+}
