Add leases without I/O: seats, fencing tokens, the holder's guard, played under faults

Need: leases for fleet-wide tasks, proved under faults; this is the part without I/O and its schedules in virtual time. No agent, no raft, no real processes yet.

Change: internal/lease (State, Guard, Fence), internal/lab/leases, tulipctl lab leases.

--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"tulipglade/internal/lab/experiment"
+	"tulipglade/internal/lab/leases"
 	"tulipglade/internal/lab/plots"
 	"tulipglade/internal/lab/policy"
 	"tulipglade/internal/lab/scenario"
@@ -50,6 +51,9 @@
 				Flags: []cli.Flag{seed, &cli.IntFlag{Name: "draws", Value: 300, Usage: "`N` deployments, of seeds that count up from --seed"},
 					&cli.FloatFlag{Name: "margin", Value: 0.02, Usage: "of the worth by which the module may serve less than " + experiment.Plain},
 					jsonFlag}},
+			{Name: "leases", Usage: "play leases under faults between processes, in virtual time; exit 1 if what must hold does not",
+				Action: labLeases, Flags: []cli.Flag{seed, &cli.IntFlag{Name: "schedules", Value: 10000, Usage: "`N`, of seeds that count up from --seed"},
+					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence, clock or free"}, jsonFlag}},
 			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
 				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
@@ -428,6 +432,45 @@
 	return nil
 }
 
+func labLeases(ctx context.Context, cmd *cli.Command) error {
+	n := cmd.Int("schedules")
+	if n < 1 {
+		return fmt.Errorf("leases: --schedules must be above 0")
+	}
+	parts := map[string]leases.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "clock": {Clock: true}, "free": {Free: true}}
+	without, ok := parts[cmd.String("without")]
+	if !ok {
+		return fmt.Errorf("leases: --without: %q is none of guard, fence, clock, free", cmd.String("without"))
+	}
+	o, err := leases.Many(ctx, cmd.Uint64("seed"), n, without)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd.Root().Writer, o); err != nil {
+			return err
+		}
+	} else {
+		t := table(cmd)
+		for _, l := range []struct {
+			what string
+			n    int
+		}{{"schedules", o.Schedules}, {"grants", o.Grants}, {"leaders", o.Leaders}, {"acts let in", o.Acts}, {"acts withheld by holders in doubt", o.Withheld},
+			{"acts refused by their token", o.Old}, {"acts refused while an earlier one went on", o.Busy}, {"OVERLAPS", o.Overlaps},
+			{"OLDER AFTER NEWER", o.Backwards}, {"REFUSED WHERE THE GUARD MUST DO", o.Unneeded},
+			{"NOBODY ACTS AFTER THE FAULTS", o.Idle}} {
+			fmt.Fprintf(t, "%s\t%d\n", l.what, l.n)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	if o.Broken() > 0 {
+		return no("what must hold is broken %d times, first by schedule %d", o.Broken(), o.First)
+	}
+	return nil
+}
+
 func labVerify(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Float("bound") <= 0 || cmd.Float("effort") <= 0 {
 		return fmt.Errorf("verify: --bound and --effort must be above 0")
--- /dev/null
+++ b/internal/lab/leases/leases.go
@@ -0,0 +1,365 @@
+// Package leases plays internal/lease in virtual time: a group whose leaders come and go, holders whose clocks are off and whose
+// processes are stopped, a network that loses, delays and repeats, and what the holders act upon. All is drawn from a seed, so a
+// schedule that breaks what must hold can be had again.
+package leases
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"tulipglade/internal/lease"
+)
+
+// Without is a part that is left out, to show that the checks find what it is there for.
+type Without struct {
+	Guard bool // holders act whenever they believe to hold
+	Fence bool // whoever acts is let in
+	Clock bool // a grant is counted from its answer, not from the request
+	Free  bool // holders release while an act may still be on its way
+}
+
+// Faults are those of one schedule; what is not named does not happen.
+type Faults struct {
+	Stops   bool // holders are stopped, also between check and act
+	Clocks  bool // holders' clocks are off by far more than the terms allow
+	Network bool // losses, repeats and long delays between holders and group
+	Late    bool // the same between holders and what they act upon
+	Leaders bool // leaders die; the group goes on from a snapshot
+}
+
+// Outcome is what one schedule, or many together, have shown.
+type Outcome struct {
+	Schedules int   `json:"schedules"`
+	Acts      int   `json:"acts"`     // that were let in
+	Old       int   `json:"old"`      // refused by their token
+	Busy      int   `json:"busy"`     // refused as an earlier one was not over
+	Withheld  int   `json:"withheld"` // that holders did not begin, being in doubt
+	Grants    int   `json:"grants"`
+	Leaders   int   `json:"leaders"`
+	Overlaps  int   `json:"overlaps"`  // of two acts of one seat under different tokens
+	Backwards int   `json:"backwards"` // acts let in under an older token than one before
+	Idle      int   `json:"idle"`      // schedules after whose faults nobody acted any more
+	Unneeded  int   `json:"unneeded"`  // acts refused by their token in schedules where the guard alone must do
+	First     int64 `json:"first,omitempty"`
+}
+
+// Broken is how often something that must hold did not.
+func (o Outcome) Broken() int { return o.Overlaps + o.Backwards + o.Idle + o.Unneeded }
+
+// The terms of every schedule, and what the holders do.
+const (
+	interval = 100 * time.Millisecond
+	drift    = 0.05
+	ticks    = 20 // of a grant
+	longest  = 300 * time.Millisecond
+	wire     = 20 * time.Millisecond // of one message, where the network is well
+	faulty   = 20 * time.Second      // of a schedule; then all is well
+	whole    = 30 * time.Second
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+type act struct {
+	grant lease.Grant
+	from  time.Duration
+	open  bool
+}
+
+type play struct {
+	out     Outcome
+	r       *rand.Rand
+	faults  Faults
+	without Without
+	now     time.Duration
+	queue   queue
+	seq     int
+	state   *lease.State
+	leader  int           // counts leaders; 0: there is none
+	leaders int           // so far
+	ticked  time.Duration // when the last tick was applied
+	fence   lease.Fence
+	acts    []*act
+	last    time.Duration // of the acts
+	newest  map[int]lease.Token
+}
+
+type holder struct {
+	p     *play
+	name  string
+	rate  float64 // of its clock
+	stop  time.Duration
+	guard lease.Guard
+	asks  uint64
+}
+
+func (p *play) after(d time.Duration, f func()) {
+	p.seq++
+	heap.Push(&p.queue, event{p.now + max(d, 0), p.seq, f})
+}
+
+func (p *play) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(p.r.Float64()*float64(most-least))
+}
+
+func (p *play) chance(x float64) bool { return p.r.Float64() < x }
+
+func (p *play) wild() bool { return p.now < faulty }
+
+// send brings a message to its place: once, or, where the way is bad, never, late, or twice.
+func (p *play) send(bad bool, f func()) {
+	copies, most := 1, wire
+	if bad && p.wild() {
+		switch {
+		case p.chance(0.15):
+			return
+		case p.chance(0.15):
+			copies = 2
+		}
+		if p.chance(0.2) {
+			most = 3 * time.Second
+		}
+	}
+	for range copies {
+		p.after(p.between(wire/10, most), f)
+	}
+}
+
+// ---- the group ----
+
+func (p *play) elect() {
+	p.leaders++
+	p.leader = p.leaders
+	p.out.Leaders++
+	me, rate := p.leader, 1+drift*(2*p.r.Float64()-1)
+	if p.faults.Leaders { // it has what was agreed on from a snapshot
+		raw, err := p.state.Snapshot()
+		if err == nil {
+			p.state, err = lease.Restore(raw)
+		}
+		if err != nil {
+			panic(err)
+		}
+	}
+	var tick func()
+	tick = func() {
+		if p.leader != me {
+			return
+		}
+		if due := p.ticked + time.Duration(float64(interval)/rate); p.now < due {
+			p.after(due-p.now, tick)
+			return
+		}
+		p.ticked = p.now
+		_, _ = p.state.Apply(lease.Command{Kind: lease.Tick}) // can't be refused
+		tick()
+	}
+	tick()
+	if p.faults.Leaders && p.wild() {
+		p.after(p.between(200*time.Millisecond, 4*time.Second), func() {
+			p.leader = 0
+			p.after(p.between(50*time.Millisecond, 1500*time.Millisecond), p.elect)
+		})
+	}
+}
+
+// ask has the group carry out a command, and its answer come back. Without a leader nobody answers.
+func (p *play) ask(c lease.Command, answer func(lease.Grant, error)) {
+	p.send(p.faults.Network, func() {
+		if p.leader == 0 {
+			return
+		}
+		before := p.state.Now()
+		g, err := p.state.Apply(c)
+		if c.Kind == lease.Acquire && err == nil && g.Till == before+c.Ticks {
+			p.out.Grants++
+		}
+		p.send(p.faults.Network, func() { answer(g, err) })
+	})
+}
+
+// ---- holders ----
+
+func (h *holder) clock() time.Duration { return time.Duration(float64(h.p.now) * h.rate) }
+
+// run does something in the holder's process, which may be stopped.
+func (h *holder) run(f func()) {
+	if h.p.now < h.stop {
+		h.p.after(h.stop-h.p.now, func() { h.run(f) })
+		return
+	}
+	f()
+}
+
+func (h *holder) beat() {
+	p := h.p
+	asked := h.clock()
+	took := func(of lease.Command) func(lease.Grant, error) {
+		return func(g lease.Grant, err error) {
+			h.run(func() {
+				if held, ok := h.guard.Grant(); err != nil && of.Kind == lease.Renew && ok && held.Token == of.Token {
+					h.guard.Drop()
+				} else if err == nil {
+					if p.without.Clock {
+						asked = h.clock()
+					}
+					h.guard.Granted(g, ticks, asked)
+				}
+			})
+		}
+	}
+	grant, have := h.guard.Grant()
+	if have {
+		c := lease.Command{Kind: lease.Renew, Name: "task", Token: grant.Token, Ticks: ticks}
+		p.ask(c, took(c))
+	} else {
+		h.asks++
+		c := lease.Command{Kind: lease.Acquire, Name: "task", Who: h.name, Ask: h.asks, Ticks: ticks}
+		p.ask(c, took(c))
+	}
+	if have && p.chance(0.1) && (h.guard.Free(h.clock()) || p.without.Free) { // it has done what it had to do
+		h.guard.Drop()
+		p.ask(lease.Command{Kind: lease.Release, Name: "task", Token: grant.Token}, func(lease.Grant, error) {})
+	}
+	p.after(p.between(300*time.Millisecond, 600*time.Millisecond), func() { h.run(h.beat) })
+}
+
+// act checks and acts. What it may take includes the way there.
+func (h *holder) act() {
+	p := h.p
+	p.after(p.between(100*time.Millisecond, 400*time.Millisecond), func() { h.run(h.act) })
+	held, have := h.guard.Grant()
+	if !have {
+		return
+	}
+	grant, may := h.guard.Begin(h.clock(), longest)
+	if p.without.Guard {
+		grant = held
+	} else if !may {
+		p.out.Withheld++
+		return
+	}
+	if p.faults.Stops && p.wild() && p.chance(0.1) {
+		h.stop = p.now + p.between(time.Second, 6*time.Second)
+	}
+	h.run(func() { p.send(p.faults.Late, func() { p.land(grant) }) })
+}
+
+// land is an act where it acts.
+func (p *play) land(g lease.Grant) {
+	if err := p.fence.Begin(g); err != nil && !p.without.Fence {
+		if err == lease.ErrOld {
+			p.out.Old++
+		} else {
+			p.out.Busy++
+		}
+		return
+	}
+	a := &act{g, p.now, true}
+	for _, o := range p.acts {
+		if o.open && o.grant.Seat == g.Seat && o.grant.Token != g.Token {
+			p.out.Overlaps++
+		}
+	}
+	if g.Token < p.newest[g.Seat] {
+		p.out.Backwards++
+	}
+	p.newest[g.Seat] = max(p.newest[g.Seat], g.Token)
+	p.out.Acts++
+	p.last = p.now
+	p.acts = append(slices.DeleteFunc(p.acts, func(o *act) bool { return !o.open }), a)
+	p.after(p.between(longest/10, longest-wire), func() {
+		a.open = false
+		p.fence.End(g)
+	})
+}
+
+// Play plays one schedule.
+func Play(seed uint64, without Without) Outcome {
+	p := &play{r: rand.New(rand.NewPCG(seed, 0x1ea5e)), without: without, state: lease.New(), newest: map[int]lease.Token{}}
+	p.out.Schedules = 1
+	p.faults = Faults{Stops: p.chance(0.5), Clocks: p.chance(0.3), Network: p.chance(0.6), Late: p.chance(0.3), Leaders: p.chance(0.6)}
+	most := 1 + p.r.IntN(2)*p.r.IntN(3)
+	if _, err := p.state.Apply(lease.Command{Kind: lease.Most, Name: "task", Most: most}); err != nil {
+		panic(err)
+	}
+	p.elect()
+	for i := range 2 + p.r.IntN(4) {
+		h := &holder{p: p, name: fmt.Sprint("h", i), rate: 1 + drift*(2*p.r.Float64()-1)}
+		if p.faults.Clocks && p.chance(0.5) {
+			h.rate = 0.3 + 0.5*p.r.Float64()
+		}
+		h.guard.Terms = lease.Terms{Interval: interval, Drift: drift}
+		p.after(p.between(0, time.Second), h.beat)
+		p.after(p.between(0, time.Second), h.act)
+	}
+	for len(p.queue) > 0 {
+		e := heap.Pop(&p.queue).(event)
+		if e.at > whole {
+			break
+		}
+		p.now = e.at
+		e.f()
+	}
+	if p.last < faulty+5*time.Second {
+		p.out.Idle++
+	}
+	// With processes that go on, clocks within the terms and acts that arrive in the time they allow for, the fence has nothing to
+	// do, however bad the way to the group is.
+	if f := p.faults; !f.Stops && !f.Clocks && !f.Late {
+		p.out.Unneeded = p.out.Old + p.out.Busy
+	}
+	return p.out
+}
+
+// Many plays schedules of seeds from the first, on all cores.
+func Many(ctx context.Context, first uint64, schedules int, without Without) (Outcome, error) {
+	all := make([]Outcome, schedules)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range all {
+		g.Go(func() error {
+			all[i] = Play(first+uint64(i), without)
+			return ctx.Err()
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return Outcome{}, err
+	}
+	var sum Outcome
+	for i, o := range all {
+		if o.Broken() > 0 && sum.Broken() == 0 {
+			sum.First = int64(first) + int64(i)
+		}
+		sum.Schedules += o.Schedules
+		sum.Acts, sum.Old, sum.Busy, sum.Withheld = sum.Acts+o.Acts, sum.Old+o.Old, sum.Busy+o.Busy, sum.Withheld+o.Withheld
+		sum.Grants, sum.Leaders, sum.Overlaps = sum.Grants+o.Grants, sum.Leaders+o.Leaders, sum.Overlaps+o.Overlaps
+		sum.Backwards, sum.Idle, sum.Unneeded = sum.Backwards+o.Backwards, sum.Idle+o.Idle, sum.Unneeded+o.Unneeded
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/internal/lab/leases/leases_test.go
@@ -0,0 +1,50 @@
+package leases
+
+import (
+	"testing"
+)
+
+// Over schedules of stops, clocks, losses and leaders that die, what must hold holds.
+func TestSchedules(t *testing.T) {
+	o, err := Many(t.Context(), 1, 2000, Without{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", o)
+	if o.Broken() > 0 {
+		t.Errorf("broken %d times, first by schedule %d", o.Broken(), o.First)
+	}
+	if o.Old == 0 || o.Busy == 0 || o.Withheld == 0 || o.Acts < 10*o.Schedules || o.Leaders < 2*o.Schedules {
+		t.Error("the schedules are too mild to show anything")
+	}
+}
+
+// The checks can fail: with a part left out, the same schedules find what it is there for.
+func TestEachPartIsNeeded(t *testing.T) {
+	for name, c := range map[string]struct {
+		without Without
+		found   func(Outcome) int
+	}{
+		"guard":                 {Without{Guard: true}, func(o Outcome) int { return o.Unneeded }},
+		"fence":                 {Without{Fence: true}, func(o Outcome) int { return min(o.Overlaps, o.Backwards) }},
+		"wait before a release": {Without{Free: true}, func(o Outcome) int { return o.Unneeded }},
+		"clock":                 {Without{Clock: true, Fence: true}, func(o Outcome) int { return o.Overlaps }},
+	} {
+		o, err := Many(t.Context(), 1, 500, c.without)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.found(o) == 0 {
+			t.Errorf("without the %s nothing is found: %+v", name, o)
+		}
+	}
+}
+
+// A schedule is the same each time.
+func TestSchedulesAreDeterministic(t *testing.T) {
+	for seed := range uint64(50) {
+		if a, b := Play(seed, Without{}), Play(seed, Without{}); a != b {
+			t.Fatalf("schedule %d: %+v, then %+v", seed, a, b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/guard.go
@@ -0,0 +1,156 @@
+package lease
+
+import (
+	"errors"
+	"time"
+)
+
+// Terms are what a group and its holders agree on beforehand.
+type Terms struct {
+	Interval time.Duration // between two ticks, by the leader's clock
+	Drift    float64       // by which share a clock may be fast or slow; below 1
+}
+
+// Sure is how long, by the holder's own clock, a grant of so many ticks lasts at least. The first tick may follow the grant at
+// once; the leader's clock may be fast, so that intervals are short, and the holder's slow.
+func (t Terms) Sure(ticks uint64) time.Duration {
+	if ticks == 0 {
+		return 0
+	}
+	return time.Duration(float64(ticks-1) * float64(t.Interval) * (1 - t.Drift) / (1 + t.Drift))
+}
+
+// Guard is what a holder goes by before it acts. Times are its own monotonic clock's, from any origin. The zero Guard with Terms set
+// holds nothing.
+type Guard struct {
+	Terms Terms
+	grant Grant
+	till  time.Duration // when the lease may end
+	held  bool
+	busy  time.Duration // until when acts that were begun may go on
+	past  Token         // what was dropped: the answer to a renewal that crossed a release must not bring it back
+}
+
+// Granted takes in the answer to a request, acquisition or renewal, of so many ticks that was sent at that time: before it went out,
+// not when the answer came. An answer that is late or comes again changes nothing for the worse.
+func (g *Guard) Granted(grant Grant, ticks uint64, asked time.Duration) {
+	till := asked + g.Terms.Sure(ticks)
+	switch {
+	case grant.Token <= g.past, g.held && grant.Token < g.grant.Token: // of an earlier holding
+	case g.held && grant.Token == g.grant.Token:
+		g.till = max(g.till, till)
+	default:
+		g.grant, g.till, g.held = grant, till, true
+	}
+}
+
+// Begin tells whether an act that takes so long at most, from now to its end where it acts, may begin, and under which grant.
+func (g *Guard) Begin(now, longest time.Duration) (Grant, bool) {
+	end := now + time.Duration(float64(longest)*(1+g.Terms.Drift))
+	if !g.held || end > g.till {
+		return Grant{}, false
+	}
+	g.busy = max(g.busy, end)
+	return g.grant, true
+}
+
+// Grant is what is held, as far as this side knows: to be renewed, or released.
+func (g *Guard) Grant() (Grant, bool) { return g.grant, g.held }
+
+// Free tells whether all acts that were begun are surely over. Before that nothing may be released: the next holder would begin
+// while an act of this one is still on its way.
+func (g *Guard) Free(now time.Duration) bool { return now >= g.busy }
+
+// Left is for how long the lease is sure to last.
+func (g *Guard) Left(now time.Duration) time.Duration {
+	if !g.held {
+		return 0
+	}
+	return max(g.till-now, 0)
+}
+
+// Drop ends it on this side: after a release, or a refusal to renew.
+func (g *Guard) Drop() {
+	if g.held {
+		g.held, g.past = false, g.grant.Token
+	}
+}
+
+// Why an act is refused where it lands.
+var (
+	ErrOld  = errors.New("the token is older than one that was seen")
+	ErrBusy = errors.New("an act of an older token is not over")
+)
+
+// fencesMost bounds the seats that a Fence knows by themselves.
+const fencesMost = 1024
+
+type seat struct {
+	name string
+	seat int
+}
+
+type fenced struct {
+	newest  Token
+	running Token // 0: nothing
+	acts    int
+}
+
+// Fence is the side acted upon: it refuses what an earlier holder sends, whatever that believes, and begins nothing for a later one
+// before the earlier one's act is over. It is as lasting as whoever keeps it: one that starts anew knows nothing, unless it is
+// given a floor.
+type Fence struct {
+	Floor Token // below this nothing is taken, of whatever seat
+	seats map[seat]*fenced
+}
+
+// Begin asks for an act under a grant. Each that was let in must End.
+func (f *Fence) Begin(g Grant) error {
+	k := seat{g.Name, g.Seat}
+	s := f.seats[k]
+	switch {
+	case s == nil && g.Token < f.Floor:
+		return ErrOld
+	case s == nil:
+		f.makeRoom()
+		s = &fenced{}
+		f.seats[k] = s
+	case g.Token < s.newest:
+		return ErrOld
+	}
+	s.newest = g.Token // also where it has to wait: from here on the earlier holder begins nothing more
+	if s.acts > 0 && s.running != g.Token {
+		return ErrBusy
+	}
+	s.running, s.acts = g.Token, s.acts+1
+	return nil
+}
+
+// End is the end of an act that Begin let in.
+func (f *Fence) End(g Grant) {
+	if s := f.seats[seat{g.Name, g.Seat}]; s != nil && s.running == g.Token && s.acts > 0 {
+		s.acts--
+	}
+}
+
+// makeRoom forgets the seat that was last used the longest ago, by its token. What could be older than that is not taken any
+// more: tokens count for the whole group.
+func (f *Fence) makeRoom() {
+	if f.seats == nil {
+		f.seats = map[seat]*fenced{}
+	}
+	if len(f.seats) < fencesMost {
+		return
+	}
+	var oldest seat
+	least := Token(0)
+	for k, s := range f.seats {
+		if s.acts == 0 && (least == 0 || s.newest < least) {
+			oldest, least = k, s.newest
+		}
+	}
+	if least > 0 {
+		f.Floor = max(f.Floor, least)
+		delete(f.seats, oldest)
+	}
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,205 @@
+// Package lease is leases for tasks that one process of a fleet, or at most k, may do at a time. It has no I/O: State is what a
+// group agrees on, command by command; Guard is the holder's side; Fence that of what is acted upon. docs/lease-design.md says
+// what holds and why.
+package lease
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Token is a fencing token. Of all grants of a group, a later one has a larger token.
+type Token uint64
+
+// Grant is a seat of a lease that somebody holds.
+type Grant struct {
+	Name  string `json:"name"`
+	Seat  int    `json:"seat"` // from 0; each has a fence of its own
+	Who   string `json:"who"`
+	Ask   uint64 `json:"ask"` // the asker's own number of the request that it answers
+	Token Token  `json:"token"`
+	Till  uint64 `json:"till"` // the tick at which it ends
+}
+
+// Kind says what a Command does.
+type Kind uint8
+
+// The kinds of commands.
+const (
+	Tick    Kind = iota // an interval has gone by
+	Acquire             // Name, Who, Ask, Ticks: a seat, if one is free
+	Renew               // Name, Token, Ticks: it ends no sooner than so many ticks from now
+	Release             // Name, Token
+	Most                // Name, Most: how many may hold it; 1 where nothing was said
+)
+
+// Command is what a group agrees to do next.
+type Command struct {
+	Kind  Kind   `json:"kind"`
+	Name  string `json:"name,omitempty"`
+	Who   string `json:"who,omitempty"`
+	Ask   uint64 `json:"ask,omitempty"`
+	Token Token  `json:"token,omitempty"`
+	Ticks uint64 `json:"ticks,omitempty"`
+	Most  int    `json:"most,omitempty"`
+}
+
+// Why a command is refused. A refusal changes nothing.
+var (
+	ErrTaken   = errors.New("all seats are held")
+	ErrNotHeld = errors.New("no such grant: it has ended, or never was")
+	ErrFewer   = errors.New("fewer may hold it now: this seat is not renewed")
+	ErrBad     = errors.New("a command that makes no sense")
+	ErrFull    = errors.New("too many leases")
+)
+
+// Bounds of what a State holds.
+const (
+	nameMost   = 128     // bytes of Name and Who
+	leasesMost = 4096    // names with a holder, or with a number of seats of their own
+	seatsMost  = 1024    // of one lease
+	ticksMost  = 1 << 20 // of one grant
+)
+
+// lease is one name.
+type lease struct {
+	Most int     `json:"most"`
+	Held []Grant `json:"held"` // by seat
+}
+
+// State is what a group agrees on. The same commands in the same order give the same State and the same answers.
+type State struct {
+	tick   uint64
+	token  Token
+	leases map[string]*lease
+}
+
+// New returns a State in which nothing is held.
+func New() *State { return &State{leases: map[string]*lease{}} }
+
+// Apply carries out the next command.
+func (s *State) Apply(c Command) (Grant, error) {
+	if c.Kind == Tick {
+		s.tick++
+		for name, l := range s.leases {
+			l.Held = slices.DeleteFunc(l.Held, func(g Grant) bool { return g.Till <= s.tick })
+			s.tidy(name)
+		}
+		return Grant{}, nil
+	}
+	if c.Name == "" || len(c.Name) > nameMost || len(c.Who) > nameMost || c.Ticks > ticksMost {
+		return Grant{}, ErrBad
+	}
+	l := s.leases[c.Name]
+	if l == nil {
+		if l = (&lease{Most: 1}); len(s.leases) >= leasesMost && (c.Kind == Acquire || c.Kind == Most) {
+			return Grant{}, ErrFull
+		}
+		s.leases[c.Name] = l
+	}
+	defer s.tidy(c.Name)
+	at := slices.IndexFunc(l.Held, func(g Grant) bool {
+		return c.Kind == Acquire && g.Who == c.Who && g.Ask == c.Ask || c.Kind != Acquire && g.Token == c.Token
+	})
+	switch {
+	case c.Kind == Most:
+		if c.Most < 1 || c.Most > seatsMost {
+			return Grant{}, ErrBad
+		}
+		l.Most = c.Most
+		return Grant{}, nil
+	case c.Kind == Acquire && (c.Who == "" || c.Ticks == 0), c.Kind == Renew && c.Ticks == 0, c.Kind > Most:
+		return Grant{}, ErrBad
+	case c.Kind == Acquire && at >= 0: // asked twice: it has it already, and no longer for that
+		return l.Held[at], nil
+	case c.Kind == Acquire:
+		return s.acquire(l, c)
+	case at < 0:
+		return Grant{}, ErrNotHeld
+	case c.Kind == Release:
+		g := l.Held[at]
+		l.Held = slices.Delete(l.Held, at, at+1)
+		return g, nil
+	case l.Held[at].Seat >= l.Most:
+		return l.Held[at], ErrFewer
+	}
+	l.Held[at].Till = max(l.Held[at].Till, s.tick+c.Ticks)
+	return l.Held[at], nil
+}
+
+func (s *State) acquire(l *lease, c Command) (Grant, error) {
+	seat := 0
+	for _, g := range l.Held { // by seat: the first gap
+		if g.Seat == seat {
+			seat++
+		}
+	}
+	if seat >= l.Most || len(l.Held) >= l.Most {
+		return Grant{}, ErrTaken
+	}
+	s.token++
+	g := Grant{Name: c.Name, Seat: seat, Who: c.Who, Ask: c.Ask, Token: s.token, Till: s.tick + c.Ticks}
+	l.Held = append(l.Held, g)
+	slices.SortFunc(l.Held, func(a, b Grant) int { return cmp.Compare(a.Seat, b.Seat) })
+	return g, nil
+}
+
+// tidy forgets a name of which nothing is to be remembered.
+func (s *State) tidy(name string) {
+	if l := s.leases[name]; l != nil && len(l.Held) == 0 && l.Most == 1 {
+		delete(s.leases, name)
+	}
+}
+
+// Holders are those of a lease, by seat, and how many there may be.
+func (s *State) Holders(name string) (held []Grant, most int) {
+	if l := s.leases[name]; l != nil {
+		return slices.Clone(l.Held), l.Most
+	}
+	return nil, 1
+}
+
+// Now is the tick that was applied last.
+func (s *State) Now() uint64 { return s.tick }
+
+// version is that of the form of a snapshot.
+const version = 1
+
+type snapshot struct {
+	Version int               `json:"version"`
+	Tick    uint64            `json:"tick"`
+	Token   Token             `json:"token"`
+	Leases  map[string]*lease `json:"leases"`
+}
+
+// Snapshot is the whole State as bytes; of equal States they are equal.
+func (s *State) Snapshot() ([]byte, error) {
+	return json.Marshal(snapshot{version, s.tick, s.token, s.leases}) // maps in the order of their keys
+}
+
+// Restore reads a Snapshot, or says what is wrong with it.
+func Restore(raw []byte) (*State, error) {
+	var in snapshot
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, fmt.Errorf("snapshot of leases: %w", err)
+	}
+	if in.Version != version {
+		return nil, fmt.Errorf("snapshot of leases: version %d, this program reads %d", in.Version, version)
+	}
+	s := &State{in.Tick, in.Token, map[string]*lease{}}
+	for name, l := range in.Leases {
+		if l == nil || l.Most < 1 {
+			return nil, fmt.Errorf("snapshot of leases: %q: nothing, or no seats", name)
+		}
+		for i, g := range l.Held {
+			if g.Name != name || g.Token > in.Token || g.Till <= in.Tick || i > 0 && g.Seat <= l.Held[i-1].Seat {
+				return nil, fmt.Errorf("snapshot of leases: %q: seat %d makes no sense", name, g.Seat)
+			}
+		}
+		s.leases[name] = l
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,182 @@
+package lease
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// What is asked for in turn, and what comes of it.
+func TestCommands(t *testing.T) {
+	s := New()
+	for i, c := range []struct {
+		Command
+		err   error
+		token Token
+		till  uint64
+	}{
+		{Command{Kind: Acquire, Name: "roll", Who: "a", Ask: 1, Ticks: 3}, nil, 1, 3},
+		{Command{Kind: Acquire, Name: "roll", Who: "b", Ask: 1, Ticks: 3}, ErrTaken, 0, 0},
+		{Command{Kind: Tick}, nil, 0, 0},
+		{Command{Kind: Acquire, Name: "roll", Who: "a", Ask: 1, Ticks: 9}, nil, 1, 3}, // asked twice: no longer for that
+		{Command{Kind: Acquire, Name: "roll", Who: "a", Ask: 2, Ticks: 3}, ErrTaken, 0, 0},
+		{Command{Kind: Renew, Name: "roll", Token: 1, Ticks: 3}, nil, 1, 4},
+		{Command{Kind: Renew, Name: "roll", Token: 1, Ticks: 1}, nil, 1, 4}, // never sooner
+		{Command{Kind: Renew, Name: "other", Token: 1, Ticks: 3}, ErrNotHeld, 0, 0},
+		{Command{Kind: Tick}, nil, 0, 0},
+		{Command{Kind: Tick}, nil, 0, 0},
+		{Command{Kind: Renew, Name: "roll", Token: 1, Ticks: 1}, nil, 1, 4},
+		{Command{Kind: Tick}, nil, 0, 0},
+		{Command{Kind: Renew, Name: "roll", Token: 1, Ticks: 3}, ErrNotHeld, 0, 0}, // it has ended
+		{Command{Kind: Acquire, Name: "roll", Who: "b", Ask: 1, Ticks: 3}, nil, 2, 7},
+		{Command{Kind: Release, Name: "roll", Token: 1}, ErrNotHeld, 0, 0}, // late, and not its own any more
+		{Command{Kind: Release, Name: "roll", Token: 2}, nil, 2, 7},
+		{Command{Kind: Most, Name: "roll", Most: 2}, nil, 0, 0},
+		{Command{Kind: Acquire, Name: "roll", Who: "a", Ask: 3, Ticks: 9}, nil, 3, 13},
+		{Command{Kind: Acquire, Name: "roll", Who: "b", Ask: 2, Ticks: 9}, nil, 4, 13},
+		{Command{Kind: Most, Name: "roll", Most: 1}, nil, 0, 0}, // while two hold
+		{Command{Kind: Renew, Name: "roll", Token: 3, Ticks: 10}, nil, 3, 14},
+		{Command{Kind: Renew, Name: "roll", Token: 4, Ticks: 10}, ErrFewer, 4, 13},
+		{Command{Kind: Release, Name: "roll", Token: 3}, nil, 3, 14},
+		{Command{Kind: Acquire, Name: "roll", Who: "c", Ask: 1, Ticks: 3}, ErrTaken, 0, 0}, // the other seat is still held
+		{Command{Kind: Acquire, Name: "", Who: "c", Ask: 1, Ticks: 3}, ErrBad, 0, 0},
+		{Command{Kind: Acquire, Name: "x", Who: "c", Ask: 1}, ErrBad, 0, 0},
+		{Command{Kind: Acquire, Name: "x", Who: "c", Ask: 1, Ticks: ticksMost + 1}, ErrBad, 0, 0},
+		{Command{Kind: Most, Name: "x"}, ErrBad, 0, 0},
+		{Command{Kind: 9, Name: "x"}, ErrBad, 0, 0},
+	} {
+		g, err := s.Apply(c.Command)
+		if !errors.Is(err, c.err) || g.Token != c.token || g.Till != c.till {
+			t.Errorf("%d: %+v: %+v %v, want %d until %d, %v", i, c.Command, g, err, c.token, c.till, c.err)
+		}
+	}
+	if len(s.leases) != 1 {
+		t.Errorf("%d names kept, want 1", len(s.leases))
+	}
+}
+
+// Whatever is asked in whatever order: tokens only grow, at most so many hold, nobody's seat is another's, refusals change nothing, names
+// without holders are forgotten, and a snapshot at any moment goes on as the original does.
+func TestAnyCommands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s, copied, newest := New(), New(), Token(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "n") {
+			c := Command{Kind: Kind(rapid.IntRange(0, 5).Draw(rt, "kind")), Name: rapid.SampledFrom([]string{"", "x", "y"}).Draw(rt, "name"),
+				Who: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "who"), Ask: rapid.Uint64Range(1, 3).Draw(rt, "ask"),
+				Token: Token(rapid.Uint64Range(0, 9).Draw(rt, "token")), Ticks: rapid.Uint64Range(0, 4).Draw(rt, "ticks"),
+				Most: rapid.IntRange(0, 3).Draw(rt, "most")}
+			before, err := s.Snapshot()
+			if err != nil {
+				rt.Fatal(err)
+			}
+			if copied, err = Restore(before); err != nil {
+				rt.Fatal(err)
+			}
+			g, err := s.Apply(c)
+			g2, err2 := copied.Apply(c)
+			after, _ := s.Snapshot()
+			again, _ := copied.Snapshot()
+			if g != g2 || !errors.Is(err2, err) || string(after) != string(again) {
+				rt.Fatalf("%+v: %+v %v, after a snapshot %+v %v", c, g, err, g2, err2)
+			}
+			if err != nil && string(before) != string(after) {
+				rt.Fatalf("%+v is refused, and changes %s to %s", c, before, after)
+			}
+			if c.Kind == Acquire && err == nil && g.Token > newest {
+				newest = g.Token
+			}
+			for name, l := range s.leases {
+				if len(l.Held) == 0 && l.Most == 1 {
+					rt.Fatalf("%s is kept for nothing", name)
+				}
+				for i, g := range l.Held {
+					if g.Token > newest || g.Till <= s.tick || i > 0 && l.Held[i-1].Seat >= g.Seat {
+						rt.Fatalf("%+v among %+v at tick %d", g, l.Held, s.tick)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestSnapshotsThatMakeNoSense(t *testing.T) {
+	for _, raw := range []string{``, `{}`, `{"version":2}`, `{"version":1,"leases":{"x":null}}`, `{"version":1,"leases":{"x":{"most":0}}}`,
+		`{"version":1,"token":1,"leases":{"x":{"most":1,"held":[{"name":"x","token":2,"till":3}]}}}`,
+		`{"version":1,"token":1,"tick":3,"leases":{"x":{"most":1,"held":[{"name":"x","token":1,"till":3}]}}}`} {
+		if _, err := Restore([]byte(raw)); err == nil {
+			t.Errorf("%s is taken", raw)
+		}
+	}
+}
+
+// The holder's time counts from before it asked; what comes late, again, or after the end brings nothing back.
+func TestGuard(t *testing.T) {
+	const s = time.Second
+	g := Guard{Terms: Terms{Interval: s, Drift: 0}}
+	begins := func(now, longest time.Duration, want Token) {
+		t.Helper()
+		if grant, ok := g.Begin(now, longest); ok != (want > 0) || grant.Token != want {
+			t.Errorf("at %v for %v: %v %v, want %d", now, longest, grant.Token, ok, want)
+		}
+	}
+	begins(0, 0, 0)
+	g.Granted(Grant{Token: 5}, 11, 0) // sure until 10 s, whenever the answer came
+	begins(8*s, 2*s, 5)
+	begins(8*s, 2*s+1, 0)
+	if g.Free(10*s-1) || !g.Free(10*s) {
+		t.Error("free before its act is over, or not after")
+	}
+	g.Granted(Grant{Token: 5}, 11, 4*s)
+	g.Granted(Grant{Token: 5}, 11, 2*s) // an earlier one, late
+	begins(13*s, s, 5)
+	begins(13*s, s+1, 0)
+	g.Drop()
+	g.Granted(Grant{Token: 5}, 11, 12*s) // crossed the release
+	begins(13*s, s, 0)
+	g.Granted(Grant{Token: 7}, 11, 20*s)
+	begins(21*s, s, 7)
+	if left := g.Left(25 * s); left != 5*s {
+		t.Error(left)
+	}
+	if sure := (Terms{Interval: s, Drift: 0.5}).Sure(4); sure != s {
+		t.Errorf("a third of three intervals: %v", sure)
+	}
+}
+
+// What is acted upon takes no older token, begins nothing while an older act goes on, and forgets seats without taking what is older.
+func TestFence(t *testing.T) {
+	var f Fence
+	at := func(name string, seat int, token Token) Grant { return Grant{Name: name, Seat: seat, Token: token} }
+	want := func(g Grant, err error) {
+		t.Helper()
+		if got := f.Begin(g); !errors.Is(got, err) {
+			t.Errorf("%+v: %v, want %v", g, got, err)
+		}
+	}
+	want(at("x", 0, 5), nil)
+	want(at("x", 1, 3), nil) // another seat
+	want(at("x", 0, 5), nil) // two at once of one holder
+	want(at("x", 0, 8), ErrBusy)
+	f.End(at("x", 0, 5))
+	want(at("x", 0, 8), ErrBusy)
+	want(at("x", 0, 5), ErrOld) // the newer one has been here
+	f.End(at("x", 0, 5))
+	want(at("x", 0, 8), nil)
+	for i := range fencesMost {
+		g := at("y", i, Token(100+i))
+		want(g, nil)
+		f.End(g)
+	}
+	if len(f.seats) > fencesMost {
+		t.Errorf("%d seats known", len(f.seats))
+	}
+	want(at("z", 0, 99), ErrOld) // of a seat that may have been forgotten
+	want(at("x", 0, 7), ErrOld)  // its act goes on: it is not forgotten
+	want(at("z", 0, 5000), nil)
+	if diff := cmp.Diff(true, f.Floor >= 100); diff != "" {
+		t.Error(diff, f.Floor)
+	}
+}
