Learn no work from answers whose time was their client's; probe only while allowed

Cause, found by reading the whole change: an answer to a body that was still coming in has no time of its own (Took 0, by the node), and noteAnswer in foresee.go took it for work of none; where hosts tell what they hold, uploads would have had the module believe that work takes nothing. And control would have probed after settings that forbid it came by SIGHUP. Change: both are guarded.

--- a/balancer.go
+++ b/balancer.go
@@ -301,7 +301,7 @@
 }
 
 // deaf tells that no probe has been answered for a while, though some were sent: then nobody waits for any.
-func (b *Balancer) deaf() bool { return b.askedAt > 0 && b.now-b.askedAt > b.period }
+func (b *Balancer) deaf() bool { return b.cfg.MayProbe && b.askedAt > 0 && b.now-b.askedAt > b.period }
 
 // draws is how many hosts are drawn for a request.
 func (b *Balancer) draws() int {
@@ -638,8 +638,9 @@
 // move changes a host's limit by one answer, or by a part of one that came from another host.
 func (b *Balancer) move(h *host, excess, part float64) {
 	before := b.limitOf(h)
-	defer func() { b.capacity += b.limitOf(h) - before }() // a period may be long
-	if h.cores > 0 && b.probing() {                        // what it holds is told, and what it may hold is foreseen
+	// The next period, which sums them up, may be far away.
+	defer func() { b.capacity += b.limitOf(h) - before }()
+	if h.cores > 0 && b.probing() { // what it holds is told, and what it may hold is foreseen
 		h.limit = max(h.cores+1, h.cores*b.aim*fill/(b.work*b.slowness(h)))
 	} else if excess > 0 {
 		h.limit = max(limitLeast*b.part(h), h.limit-part*limitGain*excess*h.limit/2)
--- a/foresee.go
+++ b/foresee.go
@@ -10,9 +10,9 @@
 	slowGain   = 0.2  // and in how slow its host is
 	slowDrift  = 0.05 // of the way back to usual, per control period in which a host had nothing of ours
 	hintPrior  = 3    // weight of the first belief in hints, a half, in squares of their logarithms
-	hintMemory = 60
-	firstWork  = 4 // answers that the first idea of a class's work, a quarter of its aim, is worth
-	oddAnswer  = 4 // times what was foreseen an answer counts at most: one odd request is no slow host
+	hintMemory = 60   // squares after which what was learned of hints counts half
+	firstWork  = 4    // answers that the first idea of a class's work, a quarter of its aim, is worth
+	oddAnswer  = 4    // times what was foreseen an answer counts at most: one odd request is no slow host
 )
 
 // foresight is what was thought of an attempt as it was sent.
@@ -114,7 +114,7 @@
 // noteAnswer learns from an answer, or from one that did not come in so long.
 func (b *Balancer) noteAnswer(r *request, a *attempt, took float64, came bool) {
 	h, f, size, c := a.host, a.foreseen, r.size, &b.classes[r.class]
-	if f.took == 0 {
+	if f.took == 0 || took <= 0 { // nothing was foreseen, or the time was its client's: a body that was coming in
 		return
 	}
 	if f.late && came && b.now <= r.aimAt {
--- a/foresee_test.go
+++ b/foresee_test.go
@@ -292,3 +292,19 @@
 		t.Errorf("capacity %.2f, was %.2f, limits sum up to %.2f", g.b.capacity, before, sum)
 	}
 }
+
+// An answer whose time was its client's, as its body was still coming in, says nothing of work.
+func TestTimeOfClientsIsNoWork(t *testing.T) {
+	b := startBoxes(t, oneClass(), 4)
+	b.offer(1, 50, 20*ms)
+	for range 100 {
+		b.pass() // all are done
+	}
+	b.request(1000, 0, 0)
+	b.pass()
+	before := b.b.classes[0].work
+	b.b.Settled(b.now, Settlement{ID: 1000, Host: b.tries[1000][0], Outcome: OK, Closed: true})
+	if got := b.b.classes[0].work; got != before || before < 30*ms || before > 50*ms {
+		t.Errorf("work %.0f, before %.0f, truly %d", got, before, 40*ms)
+	}
+}
