--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -456,7 +456,8 @@
 		for _, l := range []struct {
 			what string
 			n    int
-		}{{"schedules", o.Schedules}, {"grants", o.Grants}, {"leaders", o.Leaders}, {"holders killed", o.Kills}, {"acts let in", o.Acts}, {"acts withheld by holders in doubt", o.Withheld},
+		}{{"schedules", o.Schedules}, {"grants", o.Grants}, {"leaders", o.Leaders}, {"holders killed", o.Kills}, {"acts let in", o.Acts},
+			{"acts withheld by holders in doubt", o.Withheld},
 			{"acts refused by their token", o.Old}, {"acts refused while an earlier one went on", o.Busy}, {"OVERLAPS", o.Overlaps},
 			{"OLDER AFTER NEWER", o.Backwards}, {"REFUSED WHERE THE GUARD MUST DO", o.Unneeded},
 			{"NOBODY ACTS AFTER THE FAULTS", o.Idle}} {
--- a/cmd/tulipctl/survey_test.go
+++ b/cmd/tulipctl/survey_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"tulipglade/internal/clients"
 	"tulipglade/internal/lab/scenario"
 	"tulipglade/internal/lab/world"
 	"tulipglade/internal/load"
@@ -28,10 +29,11 @@
 		}
 		played++
 		// Few calls, whatever the fleet could do: that the machine is busy must not decide.
-		sc.Seconds, sc.WarmUp, sc.Load.PerS = 2, 0, min(60, sc.Load.Level*rate(sc))
 		if err := sc.Check(); err != nil {
 			t.Fatal(err)
 		}
+		live := world.NewLive(sc, seed, quiet{})
+		sc.Seconds, sc.WarmUp, sc.Load.PerS = 2, 0, min(60, sc.Load.Level*live.Capacity()*1e6/clients.MeanWork(sc))
 		t.Run(strings.Join(d.Turned(), "; "), func(t *testing.T) {
 			f, err := startWorld(t.Context(), sc, seed, nil, node, t.TempDir(), nil)
 			if err != nil {
@@ -49,7 +51,6 @@
 			for site := range min(len(sc.Fleet.Sites), sc.Nodes.Count) {
 				targets = append(targets, f.w.Front(site))
 			}
-			live := world.NewLive(sc, seed, quiet{})
 			r, err := load.Run(t.Context(), load.Plan{Scenario: sc, Seed: seed, Targets: targets, Capacity: live.Capacity()})
 			if err != nil {
 				t.Fatal(err)
@@ -69,15 +70,3 @@
 		})
 	}
 }
-
-// rate is how many calls a second the fleet can do.
-func rate(sc *scenario.Scenario) float64 {
-	cores, work, shares := 0.0, 0.0, 0.0
-	for _, k := range sc.Fleet.Kinds {
-		cores += k.Share * float64(k.Cores) * float64(sc.Fleet.Boxes)
-	}
-	for _, c := range sc.Classes {
-		work, shares = work+c.Share*c.Work, shares+c.Share
-	}
-	return cores * 1000 * shares / work
-}
--- a/foresee_test.go
+++ b/foresee_test.go
@@ -228,8 +228,7 @@
 	}
 }
 
-// Where repeats are marked, first tries tell how long requests are under way. That counts against their aims, and an end of the
-// gateway's own is sent so much sooner that it comes before the aim.
+// Where repeats are marked, first tries tell how long requests are under way. That counts against their aims.
 func TestWayCountsAgainstTheAim(t *testing.T) {
 	for _, marked := range []bool{true, false} {
 		cfg := oneClass()
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -354,7 +354,6 @@
 	return err == nil
 }
 
-// request hands a whole request to the box, or tells the status by which it is refused.
 // probe is the answer to a probe, beside the queue; nil: it is none. Where settings forbid them, paths of probes are not there.
 func (c *boxConn) probe(m *protocol.Message) []byte {
 	b, path := c.b, string(m.Target)
@@ -379,6 +378,7 @@
 	return answer
 }
 
+// request hands a whole request to the box, or tells the status by which it is refused.
 func (c *boxConn) request(m *protocol.Message, buf []byte) (*exchange, int) {
 	b := c.b
 	id := string(m.Get("x-trace-id"))
