Play the schedules of leases on the lab's own event queue

Need: internal/lab/leases had an event heap of its own, though internal/lab/des is one, and keeps the order of what falls due at once. Change: des.Sim in its place, 20 lines fewer; times are whole microseconds, rounded up.

--- a/internal/lab/leases/leases.go
+++ b/internal/lab/leases/leases.go
@@ -4,7 +4,6 @@
 package leases
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
+	"tulipglade/internal/lab/des"
 	"tulipglade/internal/lease"
 )
 
@@ -68,27 +68,6 @@
 	whole    = 30 * time.Second
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	f   func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 type act struct {
 	grant lease.Grant
 	from  time.Duration
@@ -112,9 +91,9 @@
 	r       *rand.Rand
 	faults  Faults
 	without Without
+	sim     des.Sim
+	src     des.Source
 	now     time.Duration
-	queue   queue
-	seq     int
 	state   *lease.State
 	leader  int           // counts leaders; 0: there is none
 	leaders int           // so far
@@ -138,8 +117,14 @@
 }
 
 func (p *play) after(d time.Duration, f func()) {
-	p.seq++
-	heap.Push(&p.queue, event{p.now + max(d, 0), p.seq, f})
+	const us = time.Microsecond
+	p.sim.After(&p.src, des.Span((d+us-1)/us), des.Event{To: p, P: f}) // never sooner: what is not due yet would be set anew for ever
+}
+
+// Handle does what is due.
+func (p *play) Handle(now des.Time, e des.Event) {
+	p.now = time.Duration(now) * time.Microsecond
+	e.P.(func())()
 }
 
 func (p *play) between(least, most time.Duration) time.Duration {
@@ -352,7 +337,7 @@
 
 // Play plays one schedule.
 func Play(seed uint64, without Without) (Outcome, Gaps) {
-	p := &play{orphans: map[int]orphan{}, r: rand.New(rand.NewPCG(seed, 0x1ea5e)), without: without, state: lease.New(), newest: map[int]lease.Token{}}
+	p := &play{src: des.NewSource(1), orphans: map[int]orphan{}, r: rand.New(rand.NewPCG(seed, 0x1ea5e)), without: without, state: lease.New(), newest: map[int]lease.Token{}}
 	p.out.Schedules = 1
 	p.faults = Faults{Stops: p.chance(0.5), Clocks: p.chance(0.3), Network: p.chance(0.6), Late: p.chance(0.3), Leaders: p.chance(0.6),
 		Kills: p.chance(0.5)}
@@ -368,14 +353,7 @@
 		}
 		h.start()
 	}
-	for len(p.queue) > 0 {
-		e := heap.Pop(&p.queue).(event)
-		if e.at > whole {
-			break
-		}
-		p.now = e.at
-		e.f()
-	}
+	p.sim.Run(des.Time(whole / time.Microsecond))
 	if p.last < faulty+5*time.Second {
 		p.out.Idle++
 	}
