--- a/cmd/tulipctl/main_test.go
+++ b/cmd/tulipctl/main_test.go
@@ -23,11 +23,18 @@
 	})
 }
 
-func TestScripts(t *testing.T) {
+// buildNode leaves the node's program in a folder of the test's.
+func buildNode(t *testing.T) string {
+	t.Helper()
 	node := filepath.Join(t.TempDir(), "tulipglade")
 	if out, err := exec.Command("go", "build", "-o", node, "../tulipglade").CombinedOutput(); err != nil {
 		t.Fatalf("the node does not build: %v\n%s", err, out)
 	}
+	return node
+}
+
+func TestScripts(t *testing.T) {
+	node := buildNode(t)
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
 		addrs, err := standin.FreeAddrs(1)
 		if err != nil {
--- a/cmd/tulipctl/survey_test.go
+++ b/cmd/tulipctl/survey_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -16,10 +14,7 @@
 // are served in time, and no rule is broken. The lab plays hundreds of them (TestSurvey); here it counts that the node carries
 // out what the module asks for.
 func TestDeploymentsOnSockets(t *testing.T) {
-	node := filepath.Join(t.TempDir(), "tulipglade")
-	if out, err := exec.Command("go", "build", "-o", node, "../tulipglade").CombinedOutput(); err != nil {
-		t.Fatalf("the node does not build: %v\n%s", err, out)
-	}
+	node := buildNode(t)
 	played := 0
 	for seed := uint64(1); played < 12; seed++ {
 		d := scenario.Draw(seed)
