Agree on leases by raft, one member without I/O, played under faults with disks

Need: internal/lease says what a group agrees on, but nobody agreed: the lab had leaders that share one State. Whether raft, its disk and changes of members keep what must hold was not shown.

No clock, socket or disk inside.

--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -54,7 +54,9 @@
 					jsonFlag}},
 			{Name: "leases", Usage: "play leases under faults between processes, in virtual time; exit 1 if what must hold does not",
 				Action: labLeases, Flags: []cli.Flag{seed, &cli.IntFlag{Name: "schedules", Value: 10000, Usage: "`N`, of seeds that count up from --seed"},
-					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence, clock or free"}, jsonFlag}},
+					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence, clock, free or sync"},
+					&cli.IntFlag{Name: "members", Usage: "with a group of `N` members, each with a disk and a network between; 0: leaders that share one state"},
+					jsonFlag}},
 			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
 				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
@@ -438,12 +440,17 @@
 	if n < 1 {
 		return fmt.Errorf("leases: --schedules must be above 0")
 	}
-	parts := map[string]leases.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "clock": {Clock: true}, "free": {Free: true}}
+	parts := map[string]leases.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "clock": {Clock: true}, "free": {Free: true},
+		"sync": {Sync: true}}
 	without, ok := parts[cmd.String("without")]
 	if !ok {
-		return fmt.Errorf("leases: --without: %q is none of guard, fence, clock, free", cmd.String("without"))
+		return fmt.Errorf("leases: --without: %q is none of guard, fence, clock, free, sync", cmd.String("without"))
+	}
+	members := cmd.Int("members")
+	if members < 0 || members > 9 || members == 0 && without.Sync {
+		return fmt.Errorf("leases: --members: %d: 1 to 9, or 0 for none; a disk only members have", members)
 	}
-	o, took, err := leases.Many(ctx, cmd.Uint64("seed"), n, without)
+	o, took, err := leases.Many(ctx, cmd.Uint64("seed"), n, without, members)
 	if err != nil {
 		return err
 	}
@@ -460,13 +467,18 @@
 			{"acts withheld by holders in doubt", o.Withheld},
 			{"acts refused by their token", o.Old}, {"acts refused while an earlier one went on", o.Busy}, {"OVERLAPS", o.Overlaps},
 			{"OLDER AFTER NEWER", o.Backwards}, {"REFUSED WHERE THE GUARD MUST DO", o.Unneeded},
+			{"faults among members", o.Faults}, {"changes of members", o.Changes}, {"TOKENS GIVEN TWICE", o.Twice}, {"MEMBERS THAT DISAGREE", o.Split},
 			{"NOBODY ACTS AFTER THE FAULTS", o.Idle}} {
 			fmt.Fprintf(t, "%s\t%d\n", l.what, l.n)
 		}
 		for _, h := range []struct {
 			what string
 			of   *hdrhistogram.Histogram
-		}{{"from a holder's death to the next one's first act", took.All}, {"the same with nothing else wrong", took.Well}} {
+		}{{"from a holder's death to the next one's first act", took.All}, {"the same with nothing else wrong", took.Well},
+			{"from a leading member's death to the next one's lead", took.Lead}} {
+			if h.of.TotalCount() == 0 {
+				continue
+			}
 			fmt.Fprintf(t, "%s, ms\tp50 %d, p99 %d, max %d, of %d\n", h.what, h.of.ValueAtQuantile(50), h.of.ValueAtQuantile(99), h.of.Max(),
 				h.of.TotalCount())
 		}
--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,316 @@
+package group
+
+import (
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"tulipglade/internal/lease"
+)
+
+// lan is members whose messages arrive at once, and whose clock the test moves.
+type lan struct {
+	t       *testing.T
+	now     time.Duration
+	members map[uint64]*Member
+	disks   map[uint64]*disk
+	post    []*pb.Message
+}
+
+type disk struct {
+	Kept
+	writes int
+	err    error
+}
+
+func (d *disk) Save(w Write) error {
+	d.writes++
+	d.Kept = d.Kept.After(w)
+	return d.err
+}
+
+const interval = 100 * time.Millisecond
+
+func newLan(t *testing.T, n int) *lan {
+	l := &lan{t: t, members: map[uint64]*Member{}, disks: map[uint64]*disk{}}
+	who := map[uint64]string{}
+	for id := range uint64(n) {
+		who[id+1] = string(rune('a' + id))
+	}
+	for id := range who {
+		kept, err := Founded(who, lease.Terms{Interval: interval, Drift: 0.01})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.disks[id] = &disk{Kept: kept}
+		l.start(id)
+	}
+	return l
+}
+
+func (l *lan) start(id uint64) {
+	m, err := New(Options{ID: id, Clock: func() time.Duration { return l.now }, Rand: rand.New(rand.NewPCG(id, 1)), Disk: l.disks[id],
+		Send: func(_ string, m *pb.Message) { l.post = append(l.post, m) }, Silence: 10, Compact: 20, Patience: 30}, l.disks[id].Kept)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.members[id] = m
+}
+
+// settle delivers until nobody has anything to say.
+func (l *lan) settle() {
+	for {
+		for _, id := range slices.Sorted(maps.Keys(l.members)) {
+			if l.members[id].Flush() != nil {
+				delete(l.members, id)
+			}
+		}
+		if len(l.post) == 0 {
+			return
+		}
+		m := l.post[0]
+		l.post = l.post[1:]
+		to := l.members[m.GetTo()]
+		if to != nil {
+			_ = to.Step(string(rune('a'+m.GetFrom()-1)), m)
+		}
+		if from := l.members[m.GetFrom()]; m.GetType() == pb.MsgSnap && from != nil {
+			from.Delivered(m.GetTo(), to != nil)
+		}
+	}
+}
+
+func (l *lan) beats(n int) {
+	for range n {
+		l.now += interval / 2
+		for _, id := range slices.Sorted(maps.Keys(l.members)) {
+			l.members[id].Beat()
+		}
+		l.settle()
+	}
+}
+
+func (l *lan) leader() *Member {
+	l.t.Helper()
+	for range 100 {
+		l.beats(1)
+		for _, id := range slices.Sorted(maps.Keys(l.members)) {
+			if l.members[id].Leads() {
+				return l.members[id]
+			}
+		}
+	}
+	l.t.Fatal("nobody leads")
+	return nil
+}
+
+func (l *lan) ask(m *Member, c lease.Command) (g lease.Grant, err error) {
+	err = errors.New("no answer")
+	m.Ask(c, func(got lease.Grant, e error) { g, err = got, e })
+	l.settle()
+	return g, err
+}
+
+func (l *lan) change(m *Member, add map[uint64]string, remove ...uint64) *error {
+	err := errors.New("no answer")
+	m.Change(add, remove, func(e error) { err = e })
+	l.settle()
+	return &err
+}
+
+func acquire(name string) lease.Command {
+	return lease.Command{Kind: lease.Acquire, Name: name, Who: "w", Ask: 1, Ticks: 4}
+}
+
+// A lease is granted by whoever leads, outlives a change of leader, and ends by ticks.
+func TestLeaseOverLeaders(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	g, err := l.ask(lead, acquire("x"))
+	if err != nil || g.Token != 1 {
+		t.Fatal(g, err)
+	}
+	for id, m := range l.members {
+		if m == lead {
+			continue
+		}
+		var not NotLeader
+		if _, err := l.ask(m, acquire("x")); !errors.As(err, &not) || not.Address != string(rune('a'+lead.View().ID-1)) {
+			t.Errorf("member %d: %v", id, err)
+		}
+	}
+	delete(l.members, lead.View().ID)
+	lead = l.leader()
+	if _, err := l.ask(lead, lease.Command{Kind: lease.Renew, Name: "x", Token: 1, Ticks: 4}); err != nil {
+		t.Error("it ended with its leader:", err)
+	}
+	l.beats(20)
+	if _, err := l.ask(lead, lease.Command{Kind: lease.Renew, Name: "x", Token: 1, Ticks: 4}); !errors.Is(err, lease.ErrNotHeld) {
+		t.Error("it has not ended:", err)
+	}
+	if g, err := l.ask(lead, acquire("x")); err != nil || g.Token != 2 {
+		t.Error(g, err)
+	}
+}
+
+// Ticks are an interval apart at least, over a change of leader, too; and an idle group writes nothing.
+func TestPace(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	writes := l.disks[1].writes
+	if l.beats(100); l.disks[1].writes != writes {
+		t.Errorf("%d writes of an idle group", l.disks[1].writes-writes)
+	}
+	c := acquire("x")
+	c.Ticks = 1000
+	if _, err := l.ask(lead, c); err != nil {
+		t.Fatal(err)
+	}
+	var at []time.Duration
+	tick := lead.View().Tick
+	look := func(m *Member) {
+		if now := m.View().Tick; now != tick {
+			tick = now
+			at = append(at, l.now)
+		}
+	}
+	for range 20 {
+		l.beats(1)
+		look(lead)
+	}
+	delete(l.members, lead.View().ID)
+	for id := range l.members { // the one that still has a tick before it may lead at once
+		_ = l.members[id].node.Campaign()
+		l.settle()
+		break
+	}
+	lead = nil
+	for range 60 {
+		for _, m := range l.members {
+			if m.Leads() && lead == nil {
+				lead, m.ticking = m, false
+			}
+		}
+		if l.beats(1); lead != nil {
+			look(lead)
+		}
+	}
+	if len(at) < 30 {
+		t.Fatalf("%d ticks", len(at))
+	}
+	for i := range at[1:] {
+		if at[i+1]-at[i] < interval {
+			t.Errorf("ticks at %v and %v", at[i], at[i+1])
+		}
+	}
+}
+
+// A new member has no say before it has caught up, which a snapshot from before its coming does not give it; meanwhile the group
+// goes on without it, takes no other change, and can give it up.
+func TestChangeOfMembers(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	for i := range uint64(60) { // so that what a new one needs is not in the log any more
+		if _, err := l.ask(lead, lease.Command{Kind: lease.Acquire, Name: "y", Who: "w", Ask: i, Ticks: 1}); err != nil && !errors.Is(err, lease.ErrTaken) {
+			t.Fatal(err)
+		}
+	}
+	old := lead.View().ID%3 + 1
+	if err := *l.change(lead, map[uint64]string{3: "c"}); !errors.Is(err, ErrNotNow) {
+		t.Error("an id that was there before:", err)
+	}
+	first := l.change(lead, map[uint64]string{4: "d"}, old)
+	delete(l.members, lead.View().ID%3+1) // with a say of the new one, which is not there, two of four would be too few
+	l.beats(40)
+	if _, err := l.ask(lead, acquire("x")); err != nil {
+		t.Error("the group waits for one that has not come:", err)
+	}
+	if err := *l.change(lead, map[uint64]string{5: "e"}); !errors.Is(err, ErrBusy) {
+		t.Error("a second change:", err)
+	}
+	if err := *l.change(lead, nil, 4); err != nil {
+		t.Error("it can't be given up:", err)
+	}
+	if !errors.Is(*first, ErrUnsure) {
+		t.Error("the first change:", *first)
+	}
+	l.start(old)
+	l.disks[5] = &disk{Kept: Joining()}
+	l.start(5)
+	second := l.change(lead, map[uint64]string{5: "e"}, old)
+	l.beats(20)
+	if *second != nil {
+		t.Fatal("a change with all there:", *second)
+	}
+	if v := l.members[5].View(); len(v.Members) != 3 || v.Members[5] != "e" || v.Members[old] != "" || v.Applied != lead.View().Applied {
+		t.Errorf("the new one: %+v", v)
+	}
+	if !l.members[old].Removed() {
+		t.Error("the old one does not know that it is none any more")
+	}
+}
+
+// The only member is replaced: it has to stay until the new one knows that it is alone.
+func TestTheOnlyMemberIsReplaced(t *testing.T) {
+	l := newLan(t, 1)
+	lead := l.leader()
+	l.disks[2] = &disk{Kept: Joining()}
+	l.start(2)
+	done := l.change(lead, map[uint64]string{2: "b"}, 1)
+	l.beats(60)
+	if *done != nil && !errors.Is(*done, ErrUnsure) || !lead.Removed() || !l.members[2].Leads() {
+		t.Errorf("%v; removed %v, leads %v", *done, lead.Removed(), l.members[2].Leads())
+	}
+	delete(l.members, 1)
+	if _, err := l.ask(l.leader(), acquire("x")); err != nil {
+		t.Error(err)
+	}
+}
+
+// Who leads and hears nobody stops leading; what it was asked is not known. What it can't write ends it, and nothing is answered.
+func TestAloneAndBroken(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	rest := maps.Clone(l.members)
+	delete(rest, lead.View().ID)
+	l.members = map[uint64]*Member{lead.View().ID: lead}
+	var got error
+	lead.Ask(acquire("x"), func(_ lease.Grant, err error) { got = err })
+	l.beats(30)
+	if !errors.Is(got, ErrUnsure) || lead.Leads() {
+		t.Error(got, lead.Leads())
+	}
+	maps.Copy(l.members, rest)
+	lead = l.leader()
+	if g, err := l.ask(lead, acquire("x")); err != nil || g.Token != 1 {
+		t.Error(g, err)
+	}
+	l.disks[lead.View().ID].err = errors.New("no sync")
+	got = nil
+	lead.Ask(acquire("z"), func(_ lease.Grant, err error) { got = err })
+	if err := lead.Flush(); err == nil || !errors.Is(got, ErrUnsure) {
+		t.Error("after a failed write:", err, got)
+	}
+	if lead.Beat(); lead.Flush() == nil {
+		t.Error("it goes on")
+	}
+}
+
+// A look shows what was agreed on before it, also from a member that has just come to lead.
+func TestLook(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	if _, err := l.ask(lead, acquire("x")); err != nil {
+		t.Fatal(err)
+	}
+	err := errors.New("no answer")
+	lead.Look(func(e error) { err = e })
+	if l.settle(); err != nil || len(lead.View().Leases) != 1 {
+		t.Error(err, lead.View())
+	}
+}
--- a/internal/lab/leases/leases.go
+++ b/internal/lab/leases/leases.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"runtime"
 	"slices"
 	"time"
@@ -25,6 +26,7 @@
 	Fence bool // whoever acts is let in
 	Clock bool // a grant is counted from its answer, not from the request
 	Free  bool // holders release while an act may still be on its way
+	Sync  bool // members' disks forget what was written last when they go down
 }
 
 // Faults are those of one schedule; what is not named does not happen.
@@ -35,6 +37,12 @@
 	Network bool // losses, repeats and long delays between holders and group
 	Late    bool // the same between holders and what they act upon
 	Leaders bool // leaders die; the group goes on from a snapshot
+	// Of a group of members:
+	Down    bool // members die, one or all, also in the midst of a write
+	Cuts    bool // links between members are cut: all of one's, one way, all but a bridge, or again and again
+	Lossy   bool // messages between members are lost, repeated and late
+	Paused  bool // members are stopped
+	Changes bool // members are replaced
 }
 
 // Outcome is what one schedule, or many together, have shown.
@@ -51,11 +59,17 @@
 	Backwards int   `json:"backwards"` // acts let in under an older token than one before
 	Idle      int   `json:"idle"`      // schedules after whose faults nobody acted any more
 	Unneeded  int   `json:"unneeded"`  // acts refused by their token in schedules where the guard alone must do
+	Twice     int   `json:"twice"`     // tokens that two requests were given
+	Split     int   `json:"split"`     // members that have agreed on different things, or could not go on
+	Faults    int   `json:"faults"`    // among members
+	Changes   int   `json:"changes"`   // of members that were carried out
 	First     int64 `json:"first,omitempty"`
 }
 
 // Broken is how often something that must hold did not.
-func (o Outcome) Broken() int { return o.Overlaps + o.Backwards + o.Idle + o.Unneeded }
+func (o Outcome) Broken() int {
+	return o.Overlaps + o.Backwards + o.Idle + o.Unneeded + o.Twice + o.Split
+}
 
 // The terms of every schedule, and what the holders do.
 const (
@@ -66,6 +80,8 @@
 	wire     = 20 * time.Millisecond // of one message, where the network is well
 	faulty   = 20 * time.Second      // of a schedule; then all is well
 	whole    = 30 * time.Second
+
+	eventsMost = 200_000 // of one schedule; it has some 20,000
 )
 
 type act struct {
@@ -78,6 +94,7 @@
 type Gaps struct {
 	All  []time.Duration
 	Well []time.Duration // of those in schedules in which nothing else was wrong, and one may hold
+	Lead []time.Duration // from when a leading member died to when another led
 }
 
 // orphan is a seat whose holder has died.
@@ -104,10 +121,13 @@
 	orphans map[int]orphan
 	gaps    Gaps
 	newest  map[int]lease.Token
+	group   *group                 // nil: one State, and leaders that come and go
+	given   map[lease.Token]string // whom each token was for
 }
 
 type holder struct {
 	p     *play
+	to    *node // of the group: the one it believes to lead
 	name  string
 	rate  float64 // of its clock
 	stop  time.Duration
@@ -193,7 +213,11 @@
 }
 
 // ask has the group carry out a command, and its answer come back. Without a leader nobody answers.
-func (p *play) ask(c lease.Command, answer func(lease.Grant, error)) {
+func (p *play) ask(h *holder, c lease.Command, answer func(lease.Grant, error)) {
+	if p.group != nil {
+		p.group.ask(h, c, answer)
+		return
+	}
 	p.send(p.faults.Network, func() {
 		if p.leader == 0 {
 			return
@@ -268,15 +292,15 @@
 	grant, have := h.guard.Grant()
 	if have {
 		c := lease.Command{Kind: lease.Renew, Name: "task", Token: grant.Token, Ticks: ticks}
-		p.ask(c, took(c))
+		p.ask(h, c, took(c))
 	} else {
 		h.asks++
 		c := lease.Command{Kind: lease.Acquire, Name: "task", Who: h.name, Ask: h.asks, Ticks: ticks}
-		p.ask(c, took(c))
+		p.ask(h, c, took(c))
 	}
 	if have && p.chance(0.1) && (h.guard.Free(h.clock()) || p.without.Free) { // it has done what it had to do
 		h.guard.Drop()
-		p.ask(lease.Command{Kind: lease.Release, Name: "task", Token: grant.Token}, func(lease.Grant, error) {})
+		p.ask(h, lease.Command{Kind: lease.Release, Name: "task", Token: grant.Token}, func(lease.Grant, error) {})
 	}
 	p.after(p.between(300*time.Millisecond, 600*time.Millisecond), func() { h.run(life, h.beat) })
 }
@@ -335,17 +359,32 @@
 	})
 }
 
-// Play plays one schedule.
-func Play(seed uint64, without Without) (Outcome, Gaps) {
-	p := &play{src: des.NewSource(1), orphans: map[int]orphan{}, r: rand.New(rand.NewPCG(seed, 0x1ea5e)), without: without, state: lease.New(), newest: map[int]lease.Token{}}
+// Play plays one schedule: with a group of so many members, or, where that is 0, with a State that many leaders share.
+func Play(seed uint64, without Without, members int) (out Outcome, gaps Gaps) {
+	p := &play{src: des.NewSource(1), orphans: map[int]orphan{}, r: rand.New(rand.NewPCG(seed, 0x1ea5e)), without: without, state: lease.New(),
+		newest: map[int]lease.Token{}, given: map[lease.Token]string{}}
+	defer func() {
+		if broke := recover(); broke != nil { // raft does where what must hold does not
+			p.out.Split++
+			out, gaps = p.out, p.gaps
+		}
+	}()
 	p.out.Schedules = 1
 	p.faults = Faults{Stops: p.chance(0.5), Clocks: p.chance(0.3), Network: p.chance(0.6), Late: p.chance(0.3), Leaders: p.chance(0.6),
 		Kills: p.chance(0.5)}
 	most := 1 + p.r.IntN(2)*p.r.IntN(3)
-	if _, err := p.state.Apply(lease.Command{Kind: lease.Most, Name: "task", Most: most}); err != nil {
-		panic(err)
+	seats := lease.Command{Kind: lease.Most, Name: "task", Most: most}
+	if members > 0 {
+		p.faults.Leaders = false
+		p.faults.Down, p.faults.Cuts, p.faults.Lossy = p.chance(0.6), p.chance(0.5), p.chance(0.4)
+		p.faults.Paused, p.faults.Changes = p.chance(0.3), p.chance(0.3)
+		p.group = newGroup(p, members, seats)
+	} else {
+		if _, err := p.state.Apply(seats); err != nil {
+			panic(err)
+		}
+		p.elect()
 	}
-	p.elect()
 	for i := range 2 + p.r.IntN(4) {
 		h := &holder{p: p, name: fmt.Sprint("h", i), rate: 1 + drift*(2*p.r.Float64()-1)}
 		if p.faults.Clocks && p.chance(0.5) {
@@ -353,10 +392,20 @@
 		}
 		h.start()
 	}
-	p.sim.Run(des.Time(whole / time.Microsecond))
+	for p.sim.Step(des.Time(whole / time.Microsecond)) {
+		if p.sim.Done() > eventsMost { // members that have lost what they had said to have talk without end
+			p.out.Split++
+		}
+		if p.out.Split+p.out.Twice > 0 { // nothing that follows means anything
+			return p.out, p.gaps
+		}
+	}
 	if p.last < faulty+5*time.Second {
 		p.out.Idle++
 	}
+	if p.group != nil {
+		p.group.tally()
+	}
 	// With processes that go on, clocks within the terms and acts that arrive in the time they allow for, the fence has nothing to
 	// do, however bad the way to the group is.
 	if f := p.faults; !f.Stops && !f.Clocks && !f.Late {
@@ -369,38 +418,43 @@
 }
 
 // Takeovers are gaps in ms.
-type Takeovers struct{ All, Well *hdrhistogram.Histogram }
+type Takeovers struct{ All, Well, Lead *hdrhistogram.Histogram }
 
 // Many plays schedules of seeds from the first, on all cores.
-func Many(ctx context.Context, first uint64, schedules int, without Without) (sum Outcome, took Takeovers, err error) {
+func Many(ctx context.Context, first uint64, schedules int, without Without, members int) (sum Outcome, took Takeovers, err error) {
 	all, gaps := make([]Outcome, schedules), make([]Gaps, schedules)
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(runtime.GOMAXPROCS(0))
 	for i := range all {
 		g.Go(func() error {
-			all[i], gaps[i] = Play(first+uint64(i), without)
+			all[i], gaps[i] = Play(first+uint64(i), without, members)
 			return ctx.Err()
 		})
 	}
 	if err := g.Wait(); err != nil {
 		return sum, took, err
 	}
-	took.All, took.Well = hdrhistogram.New(1, whole.Milliseconds(), 3), hdrhistogram.New(1, whole.Milliseconds(), 3)
-	for i, o := range all {
-		for _, gap := range gaps[i].All {
-			err = errors.Join(err, took.All.RecordValue(gap.Milliseconds()))
+	record := func(h **hdrhistogram.Histogram, of []time.Duration) {
+		if *h == nil {
+			*h = hdrhistogram.New(1, whole.Milliseconds(), 3)
 		}
-		for _, gap := range gaps[i].Well {
-			err = errors.Join(err, took.Well.RecordValue(gap.Milliseconds()))
+		for _, gap := range of {
+			err = errors.Join(err, (*h).RecordValue(gap.Milliseconds()))
 		}
+	}
+	for i, o := range all {
+		record(&took.All, gaps[i].All)
+		record(&took.Well, gaps[i].Well)
+		record(&took.Lead, gaps[i].Lead)
 		if o.Broken() > 0 && sum.Broken() == 0 {
 			sum.First = int64(first) + int64(i)
 		}
-		sum.Schedules += o.Schedules
-		sum.Acts, sum.Old, sum.Busy, sum.Withheld = sum.Acts+o.Acts, sum.Old+o.Old, sum.Busy+o.Busy, sum.Withheld+o.Withheld
-		sum.Grants, sum.Leaders, sum.Overlaps = sum.Grants+o.Grants, sum.Leaders+o.Leaders, sum.Overlaps+o.Overlaps
-		sum.Kills += o.Kills
-		sum.Backwards, sum.Idle, sum.Unneeded = sum.Backwards+o.Backwards, sum.Idle+o.Idle, sum.Unneeded+o.Unneeded
+		into, from := reflect.ValueOf(&sum).Elem(), reflect.ValueOf(o)
+		for f := range from.NumField() {
+			if k := from.Type().Field(f); k.Type.Kind() == reflect.Int {
+				into.Field(f).SetInt(into.Field(f).Int() + from.Field(f).Int())
+			}
+		}
 	}
 	return sum, took, err
 }
--- a/internal/lab/leases/leases_test.go
+++ b/internal/lab/leases/leases_test.go
@@ -8,7 +8,7 @@
 
 // Over schedules of stops, clocks, losses and leaders that die, what must hold holds.
 func TestSchedules(t *testing.T) {
-	o, took, err := Many(t.Context(), 1, 2000, Without{})
+	o, took, err := Many(t.Context(), 1, 2000, Without{}, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,7 +39,7 @@
 		"wait before a release": {Without{Free: true}, func(o Outcome) int { return o.Unneeded }},
 		"clock":                 {Without{Clock: true, Fence: true}, func(o Outcome) int { return o.Overlaps }},
 	} {
-		o, _, err := Many(t.Context(), 1, 500, c.without)
+		o, _, err := Many(t.Context(), 1, 500, c.without, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -52,8 +52,8 @@
 // A schedule is the same each time.
 func TestSchedulesAreDeterministic(t *testing.T) {
 	for seed := range uint64(50) {
-		a, gapsA := Play(seed, Without{})
-		if b, gapsB := Play(seed, Without{}); a != b || !slices.Equal(gapsA.All, gapsB.All) {
+		a, gapsA := Play(seed, Without{}, 0)
+		if b, gapsB := Play(seed, Without{}, 0); a != b || !slices.Equal(gapsA.All, gapsB.All) {
 			t.Fatalf("schedule %d: %+v, then %+v", seed, a, b)
 		}
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -34,6 +34,7 @@
 	Renew               // Name, Token, Ticks: it ends no sooner than so many ticks from now
 	Release             // Name, Token
 	Most                // Name, Most: how many may hold it; 1 where nothing was said
+	Note                // Name, Token, Text: what its holder leaves for the next one, such as how far it got; empty: nothing
 )
 
 // Command is what a group agrees to do next.
@@ -45,6 +46,7 @@
 	Token Token  `json:"token,omitempty"`
 	Ticks uint64 `json:"ticks,omitempty"`
 	Most  int    `json:"most,omitempty"`
+	Text  string `json:"text,omitempty"`
 }
 
 // Why a command is refused. A refusal changes nothing.
@@ -59,6 +61,7 @@
 // Bounds of what a State holds.
 const (
 	nameMost   = 128     // bytes of Name and Who
+	noteMost   = 8 << 10 // bytes of a note
 	leasesMost = 4096    // names with a holder, or with a number of seats of their own
 	seatsMost  = 1024    // of one lease
 	ticksMost  = 1 << 20 // of one grant
@@ -68,6 +71,7 @@
 type lease struct {
 	Most int     `json:"most"`
 	Held []Grant `json:"held"` // by seat
+	Note string  `json:"note,omitempty"`
 }
 
 // State is what a group agrees on. The same commands in the same order give the same State and the same answers.
@@ -90,7 +94,7 @@
 		}
 		return Grant{}, nil
 	}
-	if c.Name == "" || len(c.Name) > nameMost || len(c.Who) > nameMost || c.Ticks > ticksMost {
+	if c.Name == "" || len(c.Name) > nameMost || len(c.Who) > nameMost || c.Ticks > ticksMost || len(c.Text) > noteMost {
 		return Grant{}, ErrBad
 	}
 	l := s.leases[c.Name]
@@ -111,7 +115,7 @@
 		}
 		l.Most = c.Most
 		return Grant{}, nil
-	case c.Kind == Acquire && (c.Who == "" || c.Ticks == 0), c.Kind == Renew && c.Ticks == 0, c.Kind > Most:
+	case c.Kind == Acquire && (c.Who == "" || c.Ticks == 0), c.Kind == Renew && c.Ticks == 0, c.Kind > Note:
 		return Grant{}, ErrBad
 	case c.Kind == Acquire && at >= 0: // asked twice: it has it already, and no longer for that
 		return l.Held[at], nil
@@ -123,6 +127,9 @@
 		g := l.Held[at]
 		l.Held = slices.Delete(l.Held, at, at+1)
 		return g, nil
+	case c.Kind == Note:
+		l.Note = c.Text
+		return l.Held[at], nil
 	case l.Held[at].Seat >= l.Most:
 		return l.Held[at], ErrFewer
 	}
@@ -149,17 +156,37 @@
 
 // tidy forgets a name of which nothing is to be remembered.
 func (s *State) tidy(name string) {
-	if l := s.leases[name]; l != nil && len(l.Held) == 0 && l.Most == 1 {
+	if l := s.leases[name]; l != nil && len(l.Held) == 0 && l.Most == 1 && l.Note == "" {
 		delete(s.leases, name)
 	}
 }
 
-// Holders are those of a lease, by seat, and how many there may be.
-func (s *State) Holders(name string) (held []Grant, most int) {
-	if l := s.leases[name]; l != nil {
-		return slices.Clone(l.Held), l.Most
+// Lease is what is known of one.
+type Lease struct {
+	Name string  `json:"name"`
+	Most int     `json:"most"`
+	Held []Grant `json:"held"` // by seat
+	Note string  `json:"note,omitempty"`
+}
+
+// All are the leases of which something is known, by name.
+func (s *State) All() []Lease {
+	all := make([]Lease, 0, len(s.leases))
+	for name, l := range s.leases {
+		all = append(all, Lease{name, l.Most, slices.Clone(l.Held), l.Note})
+	}
+	slices.SortFunc(all, func(a, b Lease) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Held tells whether anybody holds anything: without it time need not go on.
+func (s *State) Held() bool {
+	for _, l := range s.leases {
+		if len(l.Held) > 0 {
+			return true
+		}
 	}
-	return nil, 1
+	return false
 }
 
 // Now is the tick that was applied last.
