Add the agent: a member of the group as a process, and the operators' lease commands

Need: internal/group is played in the lab only. Holders need processes to ask, and operators a way to see and use leases.

Loopback only: nothing proves who asks.

--- /dev/null
+++ b/cmd/tulipctl/lease.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"tulipglade/internal/agent"
+	"tulipglade/internal/group"
+	"tulipglade/internal/lease"
+)
+
+func agentsFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "agents", Usage: "`ADDRESS` of each agent that may be asked", Sources: cli.EnvVars("TULIP_AGENTS"), Required: true}
+}
+
+func withinFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "within", Value: 5 * time.Second, Usage: "`TIME` for the group to answer in"}
+}
+
+func leaseCommand() *cli.Command {
+	name := []cli.Argument{&cli.StringArg{Name: "name", UsageText: "NAME"}}
+	return &cli.Command{Name: "lease", Usage: "leases for tasks of which one, or some, may do one at a time", Commands: []*cli.Command{
+		{Name: "list", Usage: "who holds what", Action: leaseList, Flags: []cli.Flag{agentsFlag(), withinFlag(), jsonFlag}},
+		{Name: "show", Usage: "all that is known of one", ArgsUsage: "NAME", Arguments: name, Action: leaseList,
+			Flags: []cli.Flag{agentsFlag(), withinFlag(), jsonFlag}},
+		{Name: "run", Usage: "hold a lease while a command runs; it is killed when the lease is in doubt", ArgsUsage: "NAME -- COMMAND…", Action: leaseRun,
+			Flags: []cli.Flag{agentsFlag(), withinFlag(),
+				&cli.DurationFlag{Name: "for", Value: 5 * time.Second, Usage: "`TIME` that the lease lasts without being renewed"},
+				&cli.DurationFlag{Name: "wait", Usage: "`TIME` to wait for it while others hold it"}}},
+		{Name: "release", Usage: "end one by its token; its holder may still be acting", ArgsUsage: "NAME TOKEN", Action: leaseRelease,
+			Flags: []cli.Flag{agentsFlag(), withinFlag()}},
+		{Name: "seats", Usage: "say how many may hold it at a time", ArgsUsage: "NAME NUMBER", Action: leaseSeats,
+			Flags: []cli.Flag{agentsFlag(), withinFlag()}},
+	}}
+}
+
+func agentsCommand() *cli.Command {
+	return &cli.Command{Name: "agents", Usage: "the group that decides on leases", Commands: []*cli.Command{
+		{Name: "status", Usage: "what each agent knows", Action: agentsStatus, Flags: []cli.Flag{agentsFlag(), withinFlag(), jsonFlag}},
+		{Name: "change", Usage: "add and remove members in one step", Action: agentsChange, Flags: []cli.Flag{agentsFlag(),
+			&cli.DurationFlag{Name: "within", Value: time.Minute, Usage: "`TIME` for who is added to catch up"},
+			&cli.StringSliceFlag{Name: "add", Usage: "`ID=ADDRESS` of a member that joins"},
+			&cli.StringSliceFlag{Name: "remove", Usage: "`ID` of a member that leaves"}}},
+	}}
+}
+
+// asking returns a client, and a time for what is asked.
+func asking(ctx context.Context, cmd *cli.Command) (*agent.Client, context.Context, context.CancelFunc) {
+	ctx, stop := context.WithTimeout(ctx, cmd.Duration("within"))
+	return agent.NewClient(cmd.StringSlice("agents"), nil), ctx, stop
+}
+
+func leaseList(ctx context.Context, cmd *cli.Command) error {
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	v, err := c.Look(ctx)
+	if err != nil {
+		return no("leases: %v", err)
+	}
+	name := cmd.StringArg("name")
+	if cmd.Name == "show" {
+		if name == "" {
+			return errors.New("lease show: which NAME?")
+		}
+		v.Leases = slices.DeleteFunc(v.Leases, func(l lease.Lease) bool { return l.Name != name })
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, v.Leases)
+	}
+	t := table(cmd)
+	fmt.Fprintln(t, "name\tseat\tholder\ttoken\tends within\tseats")
+	for _, l := range v.Leases {
+		for _, g := range l.Held {
+			// From one tick at once to all of them by a slow clock.
+			fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%v\t%d\n", l.Name, g.Seat, g.Who, g.Token, time.Duration(g.Till-v.Tick)*v.Terms.Interval, l.Most)
+		}
+		if len(l.Held) == 0 {
+			fmt.Fprintf(t, "%s\t-\t-\t-\t-\t%d\n", l.Name, l.Most)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, l := range v.Leases {
+		if cmd.Name == "show" && l.Note != "" {
+			fmt.Fprintf(cmd.Root().Writer, "note: %s\n", l.Note)
+		}
+	}
+	if cmd.Name == "show" && len(v.Leases) == 0 {
+		return no("nobody holds %q", name)
+	}
+	return nil
+}
+
+// What a command that is killed has of time to end by itself.
+const killAfter = time.Second
+
+func leaseRun(ctx context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) > 1 && args[1] == "--" {
+		args = slices.Delete(args, 1, 2)
+	}
+	if len(args) < 2 {
+		return errors.New("lease run: NAME -- COMMAND, please")
+	}
+	if cmd.Duration("for") < 2*killAfter {
+		return fmt.Errorf("--for: %v is below %v: %v are for the command to end in", cmd.Duration("for"), 2*killAfter, killAfter)
+	}
+	within, again := cmd.Duration("within"), time.Duration(0)
+	if wait := cmd.Duration("wait"); wait > 0 {
+		within, again = max(within, wait), 200*time.Millisecond
+	}
+	c := agent.NewClient(cmd.StringSlice("agents"), nil)
+	asked, stop := context.WithTimeout(ctx, within)
+	l, err := agent.Hold(asked, c, agent.Wanted{Name: args[0], For: cmd.Duration("for"), Margin: killAfter + 200*time.Millisecond, Again: again})
+	stop()
+	if err != nil {
+		return no("lease %s: %v", args[0], err)
+	}
+	g, _ := l.Grant()
+	err = underLease(ctx, cmd, l, g, args[1:])
+	if l.Reason() == nil { // else it ends by itself, once the command surely has
+		release, stop := context.WithTimeout(context.WithoutCancel(ctx), within)
+		defer stop()
+		if err := l.Release(release); err != nil {
+			fmt.Fprintln(cmd.Root().ErrWriter, "tulipctl: the lease was not released, and ends by itself:", err)
+		}
+	}
+	return err
+}
+
+// underLease runs the command in a process group of its own, and ends all of that when the lease is in doubt, or when this is interrupted.
+func underLease(ctx context.Context, cmd *cli.Command, l *agent.Lease, g lease.Grant, args []string) error {
+	p := exec.Command(args[0], args[1:]...)
+	p.Stdin, p.Stdout, p.Stderr = os.Stdin, cmd.Root().Writer, cmd.Root().ErrWriter
+	p.Env = append(os.Environ(), "TULIP_LEASE="+g.Name, fmt.Sprint("TULIP_LEASE_SEAT=", g.Seat), fmt.Sprint("TULIP_LEASE_TOKEN=", g.Token))
+	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := p.Start(); err != nil {
+		return fmt.Errorf("lease run: %w", err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.Wait() }()
+	end := func(why string) error {
+		_ = syscall.Kill(-p.Process.Pid, syscall.SIGTERM)
+		select {
+		case <-done:
+		case <-time.After(killAfter):
+			_ = syscall.Kill(-p.Process.Pid, syscall.SIGKILL)
+			<-done
+		}
+		_ = syscall.Kill(-p.Process.Pid, syscall.SIGKILL) // what it has left behind
+		return no("lease %s: %s: the command was ended", g.Name, why)
+	}
+	select {
+	case err := <-done:
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			return no("lease %s: the command ended with %v", g.Name, exit)
+		}
+		return err
+	case <-l.Doubt():
+		return end(l.Reason().Error())
+	case <-ctx.Done():
+		return end("interrupted")
+	}
+}
+
+func leaseRelease(ctx context.Context, cmd *cli.Command) error {
+	token, err := strconv.ParseUint(cmd.Args().Get(1), 10, 64)
+	if err != nil {
+		return errors.New("lease release: NAME TOKEN, please; lease list shows tokens")
+	}
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	if _, err := c.Do(ctx, "release", lease.Command{Name: cmd.Args().Get(0), Token: lease.Token(token)}); err != nil {
+		return no("lease release: %v", err)
+	}
+	return nil
+}
+
+func leaseSeats(ctx context.Context, cmd *cli.Command) error {
+	most, err := strconv.Atoi(cmd.Args().Get(1))
+	if err != nil {
+		return errors.New("lease seats: NAME NUMBER, please")
+	}
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	if _, err := c.Do(ctx, "most", lease.Command{Name: cmd.Args().Get(0), Most: most}); err != nil {
+		return no("lease seats: %v", err)
+	}
+	return nil
+}
+
+func agentsStatus(ctx context.Context, cmd *cli.Command) error {
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	type line struct {
+		Address string `json:"address"`
+		Error   string `json:"error,omitempty"`
+		group.View
+	}
+	var all []line
+	led, of := 0, 0
+	for _, a := range cmd.StringSlice("agents") {
+		v, err := c.Status(ctx, a)
+		l := line{Address: a, View: v}
+		if err != nil {
+			l.Error = err.Error()
+		} else if of = max(of, len(v.Members)); v.Leader != 0 {
+			led++
+		}
+		all = append(all, l)
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd.Root().Writer, all); err != nil {
+			return err
+		}
+	} else {
+		t := table(cmd)
+		fmt.Fprintln(t, "agent\tid\tleader\tterm\tapplied\tmembers\tproblem")
+		for _, l := range all {
+			var members []string
+			for _, id := range slices.Sorted(maps.Keys(l.Members)) {
+				members = append(members, fmt.Sprintf("%d=%s", id, l.Members[id]))
+			}
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\n", l.Address, l.ID, l.Leader, l.Term, l.Applied, strings.Join(members, " "), l.Error)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	if 2*led <= of || of == 0 {
+		return no("%d agents that answer know a leader, of %d members: no majority is seen from here", led, of)
+	}
+	return nil
+}
+
+func agentsChange(ctx context.Context, cmd *cli.Command) error {
+	change := agent.Change{Add: map[uint64]string{}}
+	for _, m := range cmd.StringSlice("add") {
+		number, address, ok := strings.Cut(m, "=")
+		id, err := strconv.ParseUint(number, 10, 64)
+		if !ok || err != nil {
+			return fmt.Errorf("--add: %q is not ID=ADDRESS", m)
+		}
+		if err := agent.CheckAddress(address); err != nil {
+			return fmt.Errorf("--add: %w", err)
+		}
+		change.Add[id] = address
+	}
+	for _, m := range cmd.StringSlice("remove") {
+		id, err := strconv.ParseUint(m, 10, 64)
+		if err != nil {
+			return fmt.Errorf("--remove: %q is no id", m)
+		}
+		change.Remove = append(change.Remove, id)
+	}
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	if err := c.Change(ctx, change); err != nil {
+		return no("agents change: %v", err)
+	}
+	return nil
+}
--- a/cmd/tulipctl/main.go
+++ b/cmd/tulipctl/main.go
@@ -49,7 +49,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the exit status is chosen below
-		Commands:       []*cli.Command{demoCommand(), labCommand(), loadCommand(), worldCommand()},
+		Commands:       []*cli.Command{agentsCommand(), demoCommand(), labCommand(), leaseCommand(), loadCommand(), worldCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if name := cmd.Args().First(); name != "" {
 				return fmt.Errorf("there is no command %q; see tulipctl --help", name)
--- /dev/null
+++ b/internal/agent/client.go
@@ -0,0 +1,159 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"tulipglade/internal/group"
+	"tulipglade/internal/lease"
+)
+
+const (
+	askWithin = time.Second            // one member
+	askPause  = 100 * time.Millisecond // between two
+	hopsMost  = 4                      // by which members send one on, until it waits
+)
+
+// ErrNobody is what a request ends with that no member has answered in its time.
+var ErrNobody = errors.New("no member of the group has answered")
+
+// Client asks a group: the member that it believes to lead, and, where that does not answer, the others in turn. Its methods may be
+// called from any goroutine.
+type Client struct {
+	members []string
+	http    *http.Client
+
+	mu sync.Mutex
+	to string // who has answered last
+}
+
+// NewClient returns one that knows these addresses; nil for the usual transport.
+func NewClient(members []string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idlePost, DisableCompression: true}
+	}
+	return &Client{members: members, http: &http.Client{Transport: transport}}
+}
+
+// one asks one member once.
+func (c *Client) one(ctx context.Context, to, method, path string, body any, within time.Duration) (a Answer, err error) {
+	raw := []byte{}
+	if body != nil {
+		if raw, err = json.Marshal(body); err != nil {
+			return a, err
+		}
+	}
+	if within > 0 {
+		var stop func()
+		ctx, stop = context.WithTimeout(ctx, within)
+		defer stop()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to+path, bytes.NewReader(raw))
+	if err != nil {
+		return a, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, messageMost)).Decode(&a); err != nil {
+		return a, fmt.Errorf("%s: status %d: %w", to, resp.StatusCode, err)
+	}
+	switch known, ok := codes[a.Code]; {
+	case resp.StatusCode == 200:
+		return a, nil
+	case ok && known.err.Error() == a.Error:
+		return a, known.err
+	case ok:
+		return a, fmt.Errorf("%w (%s)", known.err, a.Error)
+	case a.Code == codeLeader:
+		return a, group.NotLeader{Address: a.Leader}
+	}
+	return a, fmt.Errorf("%s: status %d: %s", to, resp.StatusCode, a.Error)
+}
+
+// ask asks until somebody who can has answered, or ctx ends. Sent is called before each attempt goes out. An attempt that was lost
+// may have been carried out: only what may be asked twice may be asked here.
+func (c *Client) ask(ctx context.Context, method, path string, body any, within time.Duration, sent func()) (Answer, error) {
+	last := ErrNobody
+	next := rand.IntN(len(c.members))
+	c.mu.Lock()
+	to := c.to
+	c.mu.Unlock()
+	for hops := 0; ; {
+		if to == "" {
+			to = c.members[next%len(c.members)]
+			next++
+		}
+		if sent != nil {
+			sent()
+		}
+		a, err := c.one(ctx, to, method, path, body, within)
+		var not group.NotLeader
+		switch {
+		case errors.As(err, &not) && not.Address != "" && hops < hopsMost:
+			hops++
+			to = not.Address
+			continue
+		case err == nil, a.Code != "" && !errors.As(err, &not) && !errors.Is(err, group.ErrUnsure) && !errors.Is(err, group.ErrBusy):
+			c.mu.Lock()
+			c.to = to
+			c.mu.Unlock()
+			return a, err
+		case ctx.Err() == nil:
+			last = err
+		}
+		to, hops = "", 0
+		select {
+		case <-ctx.Done():
+			return Answer{}, fmt.Errorf("%w: %w", ErrNobody, last)
+		case <-time.After(askPause):
+		}
+	}
+}
+
+// Look is what the group has agreed on by now.
+func (c *Client) Look(ctx context.Context) (group.View, error) {
+	a, err := c.ask(ctx, "GET", "/leases", nil, askWithin, nil)
+	if err != nil || a.View == nil {
+		return group.View{}, err
+	}
+	return *a.View, nil
+}
+
+// Status is what one member knows, whatever that is worth.
+func (c *Client) Status(ctx context.Context, member string) (group.View, error) {
+	a, err := c.one(ctx, member, "GET", "/status", nil, askWithin)
+	if err != nil || a.View == nil {
+		return group.View{}, err
+	}
+	return *a.View, nil
+}
+
+// Change changes the members, and returns once that is done. It is asked once only: a second time it might be another change.
+func (c *Client) Change(ctx context.Context, change Change) error {
+	v, err := c.Look(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = c.one(ctx, v.Members[v.Leader], "POST", "/members", change, 0)
+	return err
+}
+
+// Do has the group carry out a command that may be asked twice: anything but Acquire without an Ask of its own.
+func (c *Client) Do(ctx context.Context, verb string, command lease.Command) (lease.Grant, error) {
+	a, err := c.ask(ctx, "POST", "/lease/"+verb, command, askWithin, nil)
+	if err != nil || a.Grant == nil {
+		return lease.Grant{}, err
+	}
+	return *a.Grant, nil
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -649,6 +649,12 @@
 // Leads tells whether this member believes to lead. Another may lead already.
 func (m *Member) Leads() bool { return m.leads }
 
+// Leader is whom this member believes to lead; 0: nobody.
+func (m *Member) Leader() uint64 { return m.node.BasicStatus().Lead }
+
+// Term is raft's own count of leaders, as far as this member knows.
+func (m *Member) Term() uint64 { return m.node.BasicStatus().GetTerm() }
+
 // Terms are those of the group.
 func (m *Member) Terms() lease.Terms { return m.terms }
 
