Play faults between real agents, holders and what they act upon

Need: what the lab shows of leases holds for its own network and disks. Whether the processes keep it was not shown, and the vocabulary of faults had no words for what goes wrong between processes.

Change: internal/rig starts the program that uses it anew as agents, holders and a target, with a relay for each direction of each pair, and bends disk and clock round the very code that agents run. 15 new kinds in internal/faults; scenarios refuse them, and their draws are as before. One log by the machine's monotonic clock; a checker of its own, with porcupine for the history of requests. A dozen schedules run with the tests, any number by tulipctl lab processes.

Found on the way: a process that held a lease twice asked under the same number each time. Had the first answer been lost, the second request would have been answered with the first grant, counted from the later time: the guard would have gone on past its end. Requests are numbered for the whole process now.

With the fence out a holder that was stopped acts under an old token; with the guard out, or a clock at a tenth, only its token stops one that lost the group; with disks that have nothing, a token is given twice: each is a test that must find it.

--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -57,6 +57,10 @@
 					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence, clock, free or sync"},
 					&cli.IntFlag{Name: "members", Usage: "with a group of `N` members, each with a disk and a network between; 0: leaders that share one state"},
 					jsonFlag}},
+			{Name: "processes", Usage: "play leases under faults between real processes; exit 1 if what must hold does not", Action: labProcesses,
+				Flags: []cli.Flag{seed, &cli.IntFlag{Name: "schedules", Value: 200, Usage: "`N`, of seeds that count up from --seed"},
+					&cli.IntFlag{Name: "at-once", Value: 4, Usage: "`N` schedules, of 7 to 9 processes each"},
+					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence or sync"}, jsonFlag}},
 			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
 				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
--- a/cmd/tulipctl/main.go
+++ b/cmd/tulipctl/main.go
@@ -15,6 +15,8 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/term"
+
+	"tulipglade/internal/rig"
 )
 
 // What the program exits with.
@@ -37,6 +39,7 @@
 func no(format string, args ...any) error { return &answer{exitNo, fmt.Errorf(format, args...)} }
 
 func main() {
+	rig.Role()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
--- /dev/null
+++ b/cmd/tulipctl/processes.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/urfave/cli/v3"
+
+	"tulipglade/internal/rig"
+)
+
+// played is what schedules between processes have shown, together.
+type played struct {
+	rig.Found
+	Schedules int                     `json:"schedules"`
+	Idle      int                     `json:"idle"`
+	Gaps      *hdrhistogram.Histogram `json:"-"`
+	Led       *hdrhistogram.Histogram `json:"-"`
+	First     uint64                  `json:"first,omitempty"` // that broke something
+}
+
+func labProcesses(ctx context.Context, cmd *cli.Command) error {
+	n, atOnce := cmd.Int("schedules"), cmd.Int("at-once")
+	if n < 1 || atOnce < 1 {
+		return errors.New("processes: --schedules and --at-once must be above 0")
+	}
+	parts := map[string]rig.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "sync": {Sync: true}}
+	without, ok := parts[cmd.String("without")]
+	if !ok {
+		return fmt.Errorf("processes: --without: %q is none of guard, fence, sync", cmd.String("without"))
+	}
+	const most = int64(time.Minute / time.Millisecond)
+	all := played{Found: rig.Found{Faults: map[string]int{}}, Gaps: hdrhistogram.New(1, most, 3), Led: hdrhistogram.New(1, most, 3)}
+	show, done := progress(cmd.Root().ErrWriter, "processes"), 0
+	var failed error
+	err := rig.Schedules(ctx, cmd.Uint64("seed"), n, atOnce, without, func(seed uint64, f rig.Found, err error) {
+		all.Schedules++
+		all.Acts, all.Refused, all.Grants, all.Leaders = all.Acts+f.Acts, all.Refused+f.Refused, all.Grants+f.Grants, all.Leaders+f.Leaders
+		for kind, n := range f.Faults {
+			all.Faults[kind] += n
+		}
+		for _, g := range f.Gaps {
+			failed = errors.Join(failed, all.Gaps.RecordValue(g.Milliseconds()))
+		}
+		for _, g := range f.Led {
+			failed = errors.Join(failed, all.Led.RecordValue(g.Milliseconds()))
+		}
+		if errors.Is(err, rig.ErrIdle) {
+			all.Idle++
+		} else if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("schedule %d: %w", seed, err))
+		}
+		if (err != nil || len(f.Broken) > 0) && (all.First == 0 || seed < all.First) {
+			all.First = seed
+		}
+		for _, b := range f.Broken {
+			all.Broken = append(all.Broken, fmt.Sprintf("schedule %d: %s", seed, b))
+		}
+		if done++; show != nil {
+			show(done, n)
+		}
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd.Root().Writer, all); err != nil {
+			return err
+		}
+	} else {
+		t := table(cmd)
+		fmt.Fprintf(t, "schedules\t%d\ngrants\t%d\nleaders\t%d\nacts let in\t%d\nacts refused by their token\t%d\nNOBODY ACTS AFTER THE FAULTS\t%d\n",
+			all.Schedules, all.Grants, all.Leaders, all.Acts, all.Refused, all.Idle)
+		for _, kind := range slices.Sorted(maps.Keys(all.Faults)) {
+			fmt.Fprintf(t, "%s\t%d\n", kind, all.Faults[kind])
+		}
+		for _, h := range []struct {
+			what string
+			of   *hdrhistogram.Histogram
+		}{{"from a holder's kill, stop or cut to the next one's first act", all.Gaps}, {"from a leader's kill, stop or cut to another's lead", all.Led}} {
+			if h.of.TotalCount() > 0 {
+				fmt.Fprintf(t, "%s, ms\tp50 %d, p99 %d, max %d, of %d\n", h.what, h.of.ValueAtQuantile(50), h.of.ValueAtQuantile(99), h.of.Max(), h.of.TotalCount())
+			}
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+		for _, b := range all.Broken {
+			fmt.Fprintln(cmd.Root().Writer, b)
+		}
+	}
+	if len(all.Broken)+all.Idle > 0 {
+		return no("what must hold is broken %d times, first by schedule %d", len(all.Broken)+all.Idle, all.First)
+	}
+	return nil
+}
--- a/internal/agent/disk_test.go
+++ b/internal/agent/disk_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/testing/protocmp"
@@ -39,7 +40,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" || d.Who != who {
+			if diff := cmp.Diff(want, got, protocmp.Transform(), cmpopts.EquateEmpty()); diff != "" || d.Who != who {
 				t.Fatal(diff, d.Who)
 			}
 			for range rapid.IntRange(1, 8).Draw(t, "writes") {
@@ -76,10 +77,7 @@
 			t.Fatal(err)
 		}
 		defer d.Close()
-		if len(want.Entries) == 0 {
-			want.Entries = nil
-		}
-		if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" {
+		if diff := cmp.Diff(want, got, protocmp.Transform(), cmpopts.EquateEmpty()); diff != "" {
 			t.Fatal(diff)
 		}
 	})
--- a/internal/agent/holder.go
+++ b/internal/agent/holder.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -66,6 +67,12 @@
 	return fmt.Sprintf("%.64s/%d/%s", host, os.Getpid(), hex.EncodeToString(r[:]))
 }
 
+// asks number the requests of this process, whoever they are for. To ask under a number of before would be answered with the grant of
+// before, which ends sooner than one that is new; so a process that starts anew under the same name goes on from the clock.
+var asks atomic.Uint64
+
+func init() { asks.Store(uint64(Clock())) }
+
 // Hold asks for a lease, and waits for it where Again says so.
 func Hold(ctx context.Context, c *Client, w Wanted) (*Lease, error) {
 	if w.Clock == nil {
@@ -83,7 +90,8 @@
 		ticks++
 	}
 	l := &Lease{c: c, w: w, ticks: ticks, doubt: make(chan struct{}), ended: make(chan struct{}), guard: lease.Guard{Terms: v.Terms}}
-	for ask := uint64(1); ; ask++ {
+	for {
+		ask := asks.Add(1)
 		asked := w.Clock() // before the first of all attempts: an earlier one may be what is answered
 		g, err := c.Do(ctx, "acquire", lease.Command{Name: w.Name, Who: w.Who, Ask: ask, Ticks: ticks})
 		if err == nil {
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -36,6 +36,23 @@
 	DatagramsLost Kind = "datagrams-lost" // this share of what nodes tell each other is lost
 	Surge         Kind = "surge"          // clients send this many times as much; of one tenant, if one is named
 	HotNode       Kind = "hot-node"       // this share of all traffic comes in at the nodes chosen
+
+	// Of processes of our own that talk to each other: agents, and who asks them.
+	ProcessKill Kind = "process-kill" // SIGKILL; it starts again from its disk when the fault ends
+	ProcessStop Kind = "process-stop" // SIGSTOP, and SIGCONT when the fault ends
+	LinkCut     Kind = "link-cut"     // what it sends and what it is sent is reset
+	LinkMute    Kind = "link-mute"    // what it sends is reset
+	LinkDeaf    Kind = "link-deaf"    // what it is sent is reset
+	LinkBridge  Kind = "link-bridge"  // two halves of the others see each other only by way of it
+	LinkFlap    Kind = "link-flap"    // cut and not, by turns, for so many ms each
+	LinkSilent  Kind = "link-silent"  // its connections stay open, and nothing comes through
+	LinkDelay   Kind = "link-delay"   // what it sends and is sent is this many ms late
+	LinkReset   Kind = "link-reset"   // this share of pieces of what it sends ends in a reset
+	ClockRate   Kind = "clock-rate"   // its clock runs at this rate
+	ClockJump   Kind = "clock-jump"   // its clock jumps by this many ms; it stays there
+	DiskStall   Kind = "disk-stall"   // each write takes this many ms longer
+	DiskFull    Kind = "disk-full"    // nothing can be written
+	DiskSync    Kind = "disk-sync"    // what is written fails its sync
 )
 
 type target uint8
@@ -45,6 +62,7 @@
 	boxes
 	sites
 	nodes
+	processes
 )
 
 type trait struct {
@@ -57,6 +75,10 @@
 	FastErrors: {boxes, 0, 1, 1}, Slow: {boxes, 1, 1000, 3}, Freeze: {of: boxes}, Kill: {of: boxes}, Replace: {of: boxes},
 	Drain: {of: boxes}, Rolling: {of: boxes}, Resets: {boxes, 0, 1, 0.5}, Garbage: {boxes, 0, 1, 0.5}, Interim: {boxes, 0, 1, 1}, SiteLost: {of: sites}, SiteSilent: {of: sites},
 	SiteCut: {of: sites}, ListDown: {of: nobody}, NodeKill: {of: nodes}, ClockOff: {nodes, -60000, 60000, 300},
+	ProcessKill: {of: processes}, ProcessStop: {of: processes}, LinkCut: {of: processes}, LinkMute: {of: processes}, LinkDeaf: {of: processes},
+	LinkBridge: {of: processes}, LinkFlap: {processes, 10, 10000, 150}, LinkSilent: {of: processes}, LinkDelay: {processes, 1, 10000, 200},
+	LinkReset: {processes, 0, 1, 0.1}, ClockRate: {processes, 0.1, 10, 1.2}, ClockJump: {processes, 1, 60000, 2000},
+	DiskStall: {processes, 1, 10000, 300}, DiskFull: {of: processes}, DiskSync: {of: processes},
 	DatagramsLost: {nobody, 0, 1, 0.5}, Surge: {nobody, 0, 100, 2}, HotNode: {nodes, 0, 1, 0.2},
 }
 
@@ -79,8 +101,10 @@
 	Size  float64 `toml:"size,omitempty" json:"size,omitempty"`   // see the kinds; 0: the kind's usual one
 	Boxes []int   `toml:"boxes,omitempty" json:"boxes,omitempty"` //
 	Nodes []int   `toml:"nodes,omitempty" json:"nodes,omitempty"`
-	Share float64 `toml:"share,omitempty" json:"share,omitempty"`
-	Site  string  `toml:"site,omitempty" json:"site,omitempty"`
+	// Processes are counted by whoever has them. -1 is the one that leads when the fault begins.
+	Processes []int   `toml:"processes,omitempty" json:"processes,omitempty"`
+	Share     float64 `toml:"share,omitempty" json:"share,omitempty"`
+	Site      string  `toml:"site,omitempty" json:"site,omitempty"`
 	// WithNodes: nodes of a lost site die too.
 	WithNodes bool   `toml:"with_nodes,omitempty" json:"with_nodes,omitempty"`
 	Tenant    string `toml:"tenant,omitempty" json:"tenant,omitempty"` // of a surge; empty: all
@@ -114,12 +138,16 @@
 	if len(f.Nodes) > 0 {
 		s += fmt.Sprintf(", nodes %v", f.Nodes)
 	}
+	if len(f.Processes) > 0 {
+		s += fmt.Sprintf(", processes %v", f.Processes)
+	}
 	return s
 }
 
 // Scope is what there is to be hit.
 type Scope struct {
 	Boxes, Nodes   int
+	Processes      int // of our own that talk to each other
 	Sites, Tenants []string
 	BoxSite        func(box int) string
 	NodeSite       func(node int) string
@@ -147,6 +175,10 @@
 		return bad("share", "%g is not within 0 and 1", f.Share)
 	case len(f.Boxes) > 0 && t.of != boxes:
 		return bad("boxes", "%s does not hit boxes", f.Kind)
+	case t.of == processes && s.Processes == 0:
+		return bad("kind", "%s: there are no processes to hit here", f.Kind)
+	case len(f.Processes) > 0 && t.of != processes:
+		return bad("processes", "%s does not hit processes", f.Kind)
 	case len(f.Nodes) > 0 && t.of != nodes:
 		return bad("nodes", "%s does not hit nodes", f.Kind)
 	case f.Site != "" && t.of == nobody:
@@ -249,7 +281,7 @@
 		return tomlfile.Bad(path+".max_ms", "min_ms %d and max_ms %d are no range above 0", d.MinMs, d.MaxMs)
 	}
 	for i, k := range d.Kinds {
-		if _, ok := traits[k]; !ok {
+		if t, ok := traits[k]; !ok || t.of == processes {
 			return tomlfile.Bad(fmt.Sprintf("%s.kinds", path), "%q at place %d is none of %v", k, i, Kinds())
 		}
 	}
@@ -260,7 +292,7 @@
 func (d Drawn) Draw(s Scope, length int64, r Rand) []Fault {
 	kinds := d.Kinds
 	if len(kinds) == 0 {
-		kinds = slices.DeleteFunc(Kinds(), func(k Kind) bool { return k == Rolling })
+		kinds = slices.DeleteFunc(Kinds(), func(k Kind) bool { return k == Rolling || (traits[k].of == processes) != (s.Processes > 0) })
 	}
 	var all []Fault
 	for range d.Count {
@@ -274,6 +306,9 @@
 			f.WithNodes = k != SiteCut && r.Float64() < 0.5
 		case boxes:
 			f.Share = 0.05 + 0.15*r.Float64()
+		case processes: // the one that leads as often as any other
+			f.Processes = []int{r.IntN(2*s.Processes) - s.Processes}
+			f.Processes[0] = max(f.Processes[0], -1)
 		}
 		if t.min != t.max {
 			f.Size = t.usual * (0.5 + r.Float64())
