Have a node refuse an operator's call whose lease was overtaken

Need: whoever rolls a change over the fleet may be stopped between its check and its PUT /standby, and go on once another has taken over. Only the node can refuse that.

Change: PUT calls may name lease, seat and token in the query; an older token than was seen is a 409, half of it a 400, and a call without any is as before. The end of an act is told when the node has carried it out, not when the caller was answered. At an upgrade the newer process takes over what was seen. Fence has moved to a package of its own, so that a node links neither State nor JSON for it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,13 +124,16 @@
 	}
 	w.to = n
 	at := ""
+	var calls *operator.Server
 	if c.Operator != "" { // before any client is taken: should this fail, an older process serves on
-		calls, err := operator.Listen(c.Operator, n, log)
-		if err != nil {
+		if calls, err = operator.Listen(c.Operator, n, log); err != nil {
 			return err
 		}
 		defer func() { _ = calls.Close() }()
 		at = calls.Addr().String()
+		if old != nil {
+			calls.Know(old.Fence)
+		}
 	}
 	ln, err := listen(c, old)
 	if err != nil {
@@ -163,7 +166,7 @@
 			log.Info("the older process has ended")
 		})
 	}
-	g := &giver{n: n, gate: gate, with: with, log: log}
+	g := &giver{n: n, calls: calls, gate: gate, with: with, log: log}
 	withdraw := offer(path, g, log)
 	defer withdraw()
 	go func() { // beside the rest, so also while the node drains
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -14,8 +14,10 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"tulipglade/internal/fence"
 	"tulipglade/internal/handover"
 	"tulipglade/internal/node"
+	"tulipglade/internal/operator"
 )
 
 // memory has the collector work harder before memory runs out; so many processes share what one may use.
@@ -43,10 +45,16 @@
 	memory(s.mb, s.others+1)
 }
 
+// handed is what goes from an older process to a newer one.
+type handed struct {
+	node.Handed
+	Fence []fence.Grant // the newest tokens that operators' calls have named
+}
+
 // taken is what an older process has handed over.
 type taken struct {
 	*handover.Taken
-	node.Handed
+	handed
 	ln netpoll.Listener
 }
 
@@ -59,7 +67,7 @@
 		return nil
 	}
 	got := &taken{Taken: t}
-	err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(t.Body, &got.Handed)
+	err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(t.Body, &got.handed)
 	t.Body = nil
 	if err == nil {
 		got.ln, err = node.Inherit(t.Listener)
@@ -76,10 +84,11 @@
 
 // giver hands this process's place to a newer one.
 type giver struct {
-	n    *node.Node
-	gate *node.Gate
-	with *shares
-	log  *slog.Logger
+	n     *node.Node
+	calls *operator.Server
+	gate  *node.Gate
+	with  *shares
+	log   *slog.Logger
 
 	mu       sync.Mutex
 	next     bool // a newer process accepts
@@ -96,7 +105,7 @@
 	case <-time.After(handover.Within):
 		return nil, -1, errors.New("the node did not answer in time")
 	}
-	body, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(h)
+	body, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(handed{h, g.calls.Seen()})
 	fd := -1
 	if err == nil {
 		fd, err = syscall.Dup(g.gate.Fd())
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -120,9 +120,23 @@
 	}
 	const upgrades = 20 // each takes the 0.75 s of a stop
 	var pause time.Duration
-	for range upgrades {
+	active := func(operator string, token, want int) {
+		t.Helper()
+		req, _ := http.NewRequest("PUT", fmt.Sprintf("http://%s/active?lease=roll&token=%d", operator, token), http.NoBody)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _ = resp.Body.Close(); resp.StatusCode != want {
+			t.Errorf("token %d: %d, want %d", token, resp.StatusCode, want)
+		}
+	}
+	active(operator, 10, 200)
+	for i := range upgrades {
 		began := time.Now()
 		next, _, at := startProcess(t, text)
+		active(at, 9+i, 409) // whoever was overtaken before the upgrade is refused after it, too
+		active(at, 11+i, 200)
 		resp, err := http.Get("http://" + at + "/status")
 		if err != nil || resp.StatusCode != 200 {
 			t.Fatal(resp, err)
--- a/internal/lab/leases/leases.go
+++ b/internal/lab/leases/leases.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
+	"tulipglade/internal/fence"
 	"tulipglade/internal/lab/des"
 	"tulipglade/internal/lease"
 )
@@ -115,7 +116,7 @@
 	leader  int           // counts leaders; 0: there is none
 	leaders int           // so far
 	ticked  time.Duration // when the last tick was applied
-	fence   lease.Fence
+	fence   fence.Fence
 	acts    []*act
 	last    time.Duration // of the acts
 	orphans map[int]orphan
@@ -329,7 +330,7 @@
 // land is an act where it acts.
 func (p *play) land(g lease.Grant) {
 	if err := p.fence.Begin(g); err != nil && !p.without.Fence {
-		if err == lease.ErrOld {
+		if err == fence.ErrOld {
 			p.out.Old++
 		} else {
 			p.out.Busy++
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease is leases for tasks that one process of a fleet, or at most k, may do at a time. It has no I/O: State is what a
-// group agrees on, command by command; Guard is the holder's side; Fence that of what is acted upon. docs/lease-design.md says
-// what holds and why.
+// group agrees on, command by command; Guard is the holder's side; that of what is acted upon is in
+// package fence. docs/lease-design.md says what holds and why.
 package lease
 
 import (
@@ -9,20 +9,15 @@
 	"errors"
 	"fmt"
 	"slices"
+
+	"tulipglade/internal/fence"
 )
 
-// Token is a fencing token. Of all grants of a group, a later one has a larger token.
-type Token uint64
-
-// Grant is a seat of a lease that somebody holds.
-type Grant struct {
-	Name  string `json:"name"`
-	Seat  int    `json:"seat"` // from 0; each has a fence of its own
-	Who   string `json:"who"`
-	Ask   uint64 `json:"ask"` // the asker's own number of the request that it answers
-	Token Token  `json:"token"`
-	Till  uint64 `json:"till"` // the tick at which it ends
-}
+// What a grant is, and the side acted upon, in a package that a node can link.
+type (
+	Token = fence.Token
+	Grant = fence.Grant
+)
 
 // Kind says what a Command does.
 type Kind uint8
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -145,38 +144,3 @@
 		t.Errorf("a third of three intervals: %v", sure)
 	}
 }
-
-// What is acted upon takes no older token, begins nothing while an older act goes on, and forgets seats without taking what is older.
-func TestFence(t *testing.T) {
-	var f Fence
-	at := func(name string, seat int, token Token) Grant { return Grant{Name: name, Seat: seat, Token: token} }
-	want := func(g Grant, err error) {
-		t.Helper()
-		if got := f.Begin(g); !errors.Is(got, err) {
-			t.Errorf("%+v: %v, want %v", g, got, err)
-		}
-	}
-	want(at("x", 0, 5), nil)
-	want(at("x", 1, 3), nil) // another seat
-	want(at("x", 0, 5), nil) // two at once of one holder
-	want(at("x", 0, 8), ErrBusy)
-	f.End(at("x", 0, 5))
-	want(at("x", 0, 8), ErrBusy)
-	want(at("x", 0, 5), ErrOld) // the newer one has been here
-	f.End(at("x", 0, 5))
-	want(at("x", 0, 8), nil)
-	for i := range fencesMost {
-		g := at("y", i, Token(100+i))
-		want(g, nil)
-		f.End(g)
-	}
-	if len(f.seats) > fencesMost {
-		t.Errorf("%d seats known", len(f.seats))
-	}
-	want(at("z", 0, 99), ErrOld) // of a seat that may have been forgotten
-	want(at("x", 0, 7), ErrOld)  // its act goes on: it is not forgotten
-	want(at("z", 0, 5000), nil)
-	if diff := cmp.Diff(true, f.Floor >= 100); diff != "" {
-		t.Error(diff, f.Floor)
-	}
-}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,9 +11,12 @@
 	"io"
 	"log/slog"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"tulipglade/internal/fence"
 	"tulipglade/internal/protocol"
 )
 
@@ -53,6 +56,7 @@
 	mu     sync.Mutex
 	conns  []*call // oldest first
 	closed bool
+	fence  fence.Fence // of calls that name a lease
 	wait   sync.WaitGroup
 }
 
@@ -208,11 +212,74 @@
 	s.mu.Lock()
 	c.whole = true
 	s.mu.Unlock()
-	return s.ask(string(m.Method), string(m.Path()))
+	_, query, _ := strings.Cut(string(m.Target), "?")
+	return s.ask(string(m.Method), string(m.Path()), query)
+}
+
+// Seen is the newest token that calls have named of each lease, for the process that takes this one's place.
+func (s *Server) Seen() []fence.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fence.Seen()
+}
+
+// Know takes in what the process before has Seen.
+func (s *Server) Know(seen []fence.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fence.Know(seen)
+}
+
+// errToken is a call that names a lease, and half of what goes with it.
+var errToken = errors.New("a call under a lease needs lease, seat and token")
+
+// under reads which lease a call is made under, if any: lease=NAME&seat=N&token=N, in any order, amid anything else.
+func under(query string) (g fence.Grant, named bool, err error) {
+	var seat, token string
+	for part := range strings.SplitSeq(query, "&") {
+		switch key, value, _ := strings.Cut(part, "="); key {
+		case "lease":
+			g.Name, named = value, true
+		case "seat":
+			seat = value
+		case "token":
+			token, named = value, true
+		}
+	}
+	if !named {
+		return g, false, nil
+	}
+	n, err := strconv.ParseUint(token, 10, 64)
+	if err == nil && seat != "" {
+		g.Seat, err = strconv.Atoi(seat)
+	}
+	if err != nil || n == 0 || g.Name == "" || g.Seat < 0 {
+		return g, true, errToken
+	}
+	g.Token = fence.Token(n)
+	return g, true, nil
+}
+
+// begin lets a call in, if its lease has not been overtaken. The end of what it lets in is to be told.
+func (s *Server) begin(query string) (end func(), err error) {
+	g, named, err := under(query)
+	if err != nil || !named {
+		return func() {}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fence.Begin(g); err != nil {
+		return nil, fmt.Errorf("lease %s, token %d: %w", g.Name, g.Token, err)
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fence.End(g)
+	}, nil
 }
 
 // ask has the node answer a call.
-func (s *Server) ask(method, path string) (status int, why string) {
+func (s *Server) ask(method, path, query string) (status int, why string) {
 	calls := map[string]struct {
 		method string
 		ask    func(func(error))
@@ -228,8 +295,20 @@
 	case method != call.method:
 		return 405, "this call is a " + call.method
 	}
+	end := func() {}
+	if method == "PUT" {
+		var err error
+		if end, err = s.begin(query); errors.Is(err, errToken) {
+			return 400, err.Error()
+		} else if err != nil {
+			return 409, err.Error()
+		}
+	}
 	answer := make(chan error, 1)
-	call.ask(func(err error) { answer <- err })
+	call.ask(func(err error) {
+		end() // also where it comes too late for an answer: until then it may still have its effect
+		answer <- err
+	})
 	late := time.NewTimer(askWithin)
 	defer late.Stop()
 	var err error
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -107,6 +107,36 @@
 	}
 }
 
+// A call under a lease that was overtaken is refused, also by the process that takes this one's place; one without a lease is not.
+func TestCallsUnderALease(t *testing.T) {
+	n := &node{}
+	addr := start(t, n, callWithin)
+	for _, c := range []struct{ call, want string }{
+		{"PUT /standby?lease=roll&seat=0&token=7", "200 OK"},
+		{"PUT /active?token=6&lease=roll", "409 Conflict"},
+		{"PUT /active?token=6&lease=roll&seat=1", "200 OK"},
+		{"PUT /active?token=8&lease=roll", "200 OK"},
+		{"PUT /standby?lease=roll&token=7", "409 Conflict"},
+		{"PUT /standby", "200 OK"},
+		{"GET /status?lease=roll&token=1", "200 OK"},
+		{"PUT /standby?lease=roll", "400 Bad Request"},
+		{"PUT /standby?token=9", "400 Bad Request"},
+		{"PUT /standby?lease=roll&token=-1", "400 Bad Request"},
+		{"PUT /standby?lease=roll&token=9&seat=x", "400 Bad Request"},
+		{"PUT /standby?lease=other&token=1", "200 OK"},
+	} {
+		conn := send(t, addr, c.call+" HTTP/1.1\r\n\r\n")
+		if got := answer(t, conn); got != c.want {
+			t.Errorf("%s: %s, want %s", c.call, got, c.want)
+		}
+		_ = conn.Close()
+	}
+	asked := len(n.asked)
+	if asked != 6 {
+		t.Errorf("the node was asked %d times", asked)
+	}
+}
+
 // Callers that send nothing, or half a call, and stay, do not keep others out: the oldest of them goes. Each has its
 // time limit as well.
 func TestSilentCallersKeepNobodyOut(t *testing.T) {
--- a/internal/rig/roles.go
+++ b/internal/rig/roles.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"tulipglade/internal/agent"
+	"tulipglade/internal/fence"
 	"tulipglade/internal/group"
 	"tulipglade/internal/lease"
 )
@@ -325,7 +326,7 @@
 func (p *process) target(ctx context.Context) error {
 	var (
 		mu    sync.Mutex
-		fence lease.Fence
+		doors fence.Fence
 	)
 	ln, err := net.Listen("tcp4", p.Listen)
 	if err != nil {
@@ -338,7 +339,7 @@
 		g := lease.Grant{Name: leaseName, Seat: seat, Token: lease.Token(token)}
 		e := Event{Seat: seat, Token: g.Token, Text: q.Get("who")}
 		mu.Lock()
-		err := fence.Begin(g)
+		err := doors.Begin(g)
 		if let := err == nil || p.Without.Fence; !let {
 			e.What = "refused"
 			p.tell(e)
@@ -354,7 +355,7 @@
 		e.What = "ends"
 		p.tell(e)
 		if err == nil {
-			fence.End(g)
+			doors.End(g)
 		}
 		mu.Unlock()
 	})}
