Roll changes over nodes under a lease, to be taken over where the holder died

Need: two scripts can drain two sites at once, and one that dies in the middle leaves nodes in standby. A holder that is stopped can neither be trusted to stop its command nor its calls.

Change: internal/roll decides (no I/O): site by site, at most k at a time, each step written into the lease's note before it is taken. tulipctl roll carries it out, with tokens on each call; where the one before died at the command it finds out whether the node has had it. internal/leash runs commands below a process that ends them when the lease's time is up, also if tulipctl is stopped or killed; lease run uses it. docs/leases.md is the operators' page.

Found by the tests: a leash that ignores SIGTERM hands that on to the command.

--- a/cmd/tulipctl/lease.go
+++ b/cmd/tulipctl/lease.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -18,6 +17,7 @@
 	"tulipglade/internal/agent"
 	"tulipglade/internal/group"
 	"tulipglade/internal/lease"
+	"tulipglade/internal/leash"
 )
 
 func agentsFlag() cli.Flag {
@@ -40,6 +40,8 @@
 				&cli.DurationFlag{Name: "wait", Usage: "`TIME` to wait for it while others hold it"}}},
 		{Name: "release", Usage: "end one by its token; its holder may still be acting", ArgsUsage: "NAME TOKEN", Action: leaseRelease,
 			Flags: []cli.Flag{agentsFlag(), withinFlag()}},
+		{Name: "note", Usage: "put another note in the place of the last holder's; empty: none", ArgsUsage: "NAME TEXT", Action: leaseNote,
+			Flags: []cli.Flag{agentsFlag(), withinFlag()}},
 		{Name: "seats", Usage: "say how many may hold it at a time", ArgsUsage: "NAME NUMBER", Action: leaseSeats,
 			Flags: []cli.Flag{agentsFlag(), withinFlag()}},
 	}}
@@ -103,8 +105,8 @@
 	return nil
 }
 
-// What a command that is killed has of time to end by itself.
-const killAfter = time.Second
+// margin is how long before a lease may end nothing is begun, and nothing of what was begun is left.
+const margin = 200 * time.Millisecond
 
 func leaseRun(ctx context.Context, cmd *cli.Command) error {
 	args := cmd.Args().Slice()
@@ -114,8 +116,8 @@
 	if len(args) < 2 {
 		return errors.New("lease run: NAME -- COMMAND, please")
 	}
-	if cmd.Duration("for") < 2*killAfter {
-		return fmt.Errorf("--for: %v is below %v: %v are for the command to end in", cmd.Duration("for"), 2*killAfter, killAfter)
+	if least := 2*leash.Term + margin; cmd.Duration("for") < least {
+		return fmt.Errorf("--for: %v is below %v", cmd.Duration("for"), least)
 	}
 	within, again := cmd.Duration("within"), time.Duration(0)
 	if wait := cmd.Duration("wait"); wait > 0 {
@@ -123,57 +125,64 @@
 	}
 	c := agent.NewClient(cmd.StringSlice("agents"), nil)
 	asked, stop := context.WithTimeout(ctx, within)
-	l, err := agent.Hold(asked, c, agent.Wanted{Name: args[0], For: cmd.Duration("for"), Margin: killAfter + 200*time.Millisecond, Again: again})
+	l, err := agent.Hold(asked, c, agent.Wanted{Name: args[0], For: cmd.Duration("for"), Margin: margin, Again: again})
 	stop()
 	if err != nil {
 		return no("lease %s: %v", args[0], err)
 	}
-	g, _ := l.Grant()
-	err = underLease(ctx, cmd, l, g, args[1:])
-	if l.Reason() == nil { // else it ends by itself, once the command surely has
-		release, stop := context.WithTimeout(context.WithoutCancel(ctx), within)
-		defer stop()
-		if err := l.Release(release); err != nil {
-			fmt.Fprintln(cmd.Root().ErrWriter, "tulipctl: the lease was not released, and ends by itself:", err)
+	err = underLease(ctx, cmd, l, nil, args[1:])
+	let(ctx, cmd, l, within)
+	if errors.Is(err, leash.ErrKilled) {
+		why := l.Reason()
+		if ctx.Err() != nil {
+			why = errors.New("interrupted")
 		}
+		return no("lease %s: %v: the command was ended", args[0], why)
+	}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return no("lease %s: the command ended with %v", args[0], exit)
 	}
 	return err
 }
 
-// underLease runs the command in a process group of its own, and ends all of that when the lease is in doubt, or when this is interrupted.
-func underLease(ctx context.Context, cmd *cli.Command, l *agent.Lease, g lease.Grant, args []string) error {
-	p := exec.Command(args[0], args[1:]...)
-	p.Stdin, p.Stdout, p.Stderr = os.Stdin, cmd.Root().Writer, cmd.Root().ErrWriter
-	p.Env = append(os.Environ(), "TULIP_LEASE="+g.Name, fmt.Sprint("TULIP_LEASE_SEAT=", g.Seat), fmt.Sprint("TULIP_LEASE_TOKEN=", g.Token))
-	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := p.Start(); err != nil {
-		return fmt.Errorf("lease run: %w", err)
+// let lets a lease go, unless it ends by itself.
+func let(ctx context.Context, cmd *cli.Command, l *agent.Lease, within time.Duration) {
+	if l.Reason() != nil {
+		return
 	}
-	done := make(chan error, 1)
-	go func() { done <- p.Wait() }()
-	end := func(why string) error {
-		_ = syscall.Kill(-p.Process.Pid, syscall.SIGTERM)
-		select {
-		case <-done:
-		case <-time.After(killAfter):
-			_ = syscall.Kill(-p.Process.Pid, syscall.SIGKILL)
-			<-done
-		}
-		_ = syscall.Kill(-p.Process.Pid, syscall.SIGKILL) // what it has left behind
-		return no("lease %s: %s: the command was ended", g.Name, why)
+	release, stop := context.WithTimeout(context.WithoutCancel(ctx), within)
+	defer stop()
+	if err := l.Release(release); err != nil {
+		fmt.Fprintln(cmd.Root().ErrWriter, "tulipctl: the lease was not released, and ends by itself:", err)
 	}
-	select {
-	case err := <-done:
-		var exit *exec.ExitError
-		if errors.As(err, &exit) {
-			return no("lease %s: the command ended with %v", g.Name, exit)
-		}
+}
+
+// underLease runs a command that is over before the lease may end, whatever becomes of this process.
+func underLease(ctx context.Context, cmd *cli.Command, l *agent.Lease, env, args []string) error {
+	g, _ := l.Grant()
+	till := func() time.Duration { return agent.Clock() + l.Left() - margin }
+	p, err := leash.Start(till(), append(append(os.Environ(), "TULIP_LEASE="+g.Name, fmt.Sprint("TULIP_LEASE_SEAT=", g.Seat),
+		fmt.Sprint("TULIP_LEASE_TOKEN=", g.Token)), env...), cmd.Root().Writer, cmd.Root().ErrWriter, args...)
+	if err != nil {
 		return err
-	case <-l.Doubt():
-		return end(l.Reason().Error())
-	case <-ctx.Done():
-		return end("interrupted")
 	}
+	over := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-over:
+				return
+			case <-ctx.Done():
+				p.End()
+				return
+			case <-time.After(100 * time.Millisecond):
+				p.Until(till())
+			}
+		}
+	}()
+	defer close(over)
+	return p.Wait()
 }
 
 func leaseRelease(ctx context.Context, cmd *cli.Command) error {
@@ -189,6 +198,22 @@
 	return nil
 }
 
+func leaseNote(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 2 {
+		return errors.New("lease note: NAME TEXT, please")
+	}
+	c, ctx, stop := asking(ctx, cmd)
+	defer stop()
+	l, err := agent.Hold(ctx, c, agent.Wanted{Name: cmd.Args().Get(0), For: 2 * time.Second})
+	if err != nil {
+		return no("lease note: %v", err)
+	}
+	if err := errors.Join(l.Note(ctx, cmd.Args().Get(1)), l.Release(ctx)); err != nil {
+		return no("lease note: %v", err)
+	}
+	return nil
+}
+
 func leaseSeats(ctx context.Context, cmd *cli.Command) error {
 	most, err := strconv.Atoi(cmd.Args().Get(1))
 	if err != nil {
--- a/cmd/tulipctl/main.go
+++ b/cmd/tulipctl/main.go
@@ -16,6 +16,8 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/term"
 
+	"tulipglade/internal/agent"
+	"tulipglade/internal/leash"
 	"tulipglade/internal/rig"
 )
 
@@ -39,6 +41,7 @@
 func no(format string, args ...any) error { return &answer{exitNo, fmt.Errorf(format, args...)} }
 
 func main() {
+	leash.Role(agent.Clock)
 	rig.Role()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -52,7 +55,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the exit status is chosen below
-		Commands:       []*cli.Command{agentsCommand(), demoCommand(), labCommand(), leaseCommand(), loadCommand(), worldCommand()},
+		Commands:       []*cli.Command{agentsCommand(), demoCommand(), labCommand(), leaseCommand(), loadCommand(), rollCommand(), worldCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if name := cmd.Args().First(); name != "" {
 				return fmt.Errorf("there is no command %q; see tulipctl --help", name)
--- a/cmd/tulipctl/main_test.go
+++ b/cmd/tulipctl/main_test.go
@@ -9,10 +9,13 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"tulipglade/internal/agent"
+	"tulipglade/internal/leash"
 	"tulipglade/internal/standin"
 )
 
 func TestMain(m *testing.M) {
+	leash.Role(agent.Clock)
 	testscript.Main(m, map[string]func(){
 		"tulipctl": func() { os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr)) },
 		// status COMMAND... prints the exit status of tulipctl, so that a script can tell 1 from 2.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -16,6 +16,13 @@
 
 func TestMain(m *testing.M) {
 	Role()
+	if len(os.Args) > 2 && os.Args[1] == "-change-node" {
+		if err := changeNode(os.Args[2], os.Getenv("TULIP_NODE")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
