Measure groups of agents, replace a member among processes, shrink their schedules

Need: what a group costs and how fast it elects was not measured; a change of members was played in the lab only; a schedule between processes that fails could not be reduced.

--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -60,7 +60,13 @@
 			{Name: "processes", Usage: "play leases under faults between real processes; exit 1 if what must hold does not", Action: labProcesses,
 				Flags: []cli.Flag{seed, &cli.IntFlag{Name: "schedules", Value: 200, Usage: "`N`, of seeds that count up from --seed"},
 					&cli.IntFlag{Name: "at-once", Value: 4, Usage: "`N` schedules, of 7 to 9 processes each"},
-					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence or sync"}, jsonFlag}},
+					&cli.StringFlag{Name: "without", Usage: "leave out `PART`, to see what it is there for: guard, fence or sync"},
+					&cli.BoolFlag{Name: "shrink", Usage: "the first schedule that breaks something to the fewest faults, with three tries each"}, jsonFlag}},
+			{Name: "agents", Usage: "measure groups of agents: elections, grants, what they cost", Action: labAgents, Flags: []cli.Flag{
+				&cli.IntSliceFlag{Name: "members", Value: []int{3, 5, 7}, Usage: "`N` of each group"},
+				&cli.IntFlag{Name: "elections", Value: 200, Usage: "`N`: the leader is killed as often"},
+				&cli.IntFlag{Name: "holders", Value: 300, Usage: "`N` that hold a lease each, and then ask for one at once"},
+				&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "`TIME` of each measurement"}, jsonFlag}},
 			{Name: "verify", Usage: "hold the lab against queueing theory; exit 1 beyond the bound", Action: labVerify, Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "bound", Value: 0.02, Usage: "relative error `X`"},
 				&cli.FloatFlag{Name: "effort", Value: 1, Usage: "times as many jobs; 1 takes minutes"}, jsonFlag}},
--- a/cmd/tulipctl/processes.go
+++ b/cmd/tulipctl/processes.go
@@ -11,6 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/urfave/cli/v3"
 
+	"tulipglade/internal/faults"
+	"tulipglade/internal/lab/experiment"
 	"tulipglade/internal/rig"
 )
 
@@ -94,8 +96,52 @@
 			fmt.Fprintln(cmd.Root().Writer, b)
 		}
 	}
+	if cmd.Bool("shrink") && all.First > 0 {
+		least := experiment.DDMin(rig.Faults(all.First), func(list []faults.Fault) bool {
+			fails, err := rig.Fails(ctx, all.First, without, list, 3)
+			failed = errors.Join(failed, err)
+			return fails && failed == nil
+		})
+		if failed != nil {
+			return failed
+		}
+		fmt.Fprintf(cmd.Root().Writer, "schedule %d needs of its faults:\n", all.First)
+		for _, f := range least {
+			fmt.Fprintln(cmd.Root().Writer, f)
+		}
+	}
 	if len(all.Broken)+all.Idle > 0 {
 		return no("what must hold is broken %d times, first by schedule %d", len(all.Broken)+all.Idle, all.First)
 	}
 	return nil
 }
+
+func labAgents(ctx context.Context, cmd *cli.Command) error {
+	elections, holders := cmd.Int("elections"), cmd.Int("holders")
+	if elections < 1 || holders < 1 || cmd.Duration("length") < time.Second {
+		return errors.New("agents: --elections and --holders must be above 0, --length 1s at least")
+	}
+	var all []rig.Measured
+	for _, n := range cmd.IntSlice("members") {
+		if n < 1 || n > 9 {
+			return fmt.Errorf("agents: --members: %d is not within 1 and 9", n)
+		}
+		m, err := rig.Measure(ctx, n, elections, holders, cmd.Duration("length"))
+		if err != nil {
+			return err
+		}
+		all = append(all, m)
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd.Root().Writer, all)
+	}
+	t := table(cmd)
+	fmt.Fprintln(t, "agents\telections, ms\tgrants/s\tgrant, ms\tidle: cpu, MB, messages/s\tholders\theld: cpu, MB, messages/s\tall have had one lease")
+	for _, m := range all {
+		e, l := m.Elections, m.Latency
+		fmt.Fprintf(t, "%d\tp50 %d, p99 %d, max %d\t%.0f\tp50 %.1f, p99 %.1f\t%.1f%%, %.0f, %.0f\t%d\t%.1f%%, %.0f, %.0f\t%.1f s\n", m.Agents, e.ValueAtQuantile(50),
+			e.ValueAtQuantile(99), e.Max(), m.GrantsPS, float64(l.ValueAtQuantile(50))/1000, float64(l.ValueAtQuantile(99))/1000, 100*m.Idle.CPU, m.Idle.Memory,
+			m.Idle.Pieces, m.Holders, 100*m.Holding.CPU, m.Holding.Memory, m.Holding.Pieces, m.Rush.Seconds())
+	}
+	return t.Flush()
+}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -244,7 +244,7 @@
 	}
 	for name, need := range map[string][]int{"none": nil, "one": {77}, "first and last": {0, 199}, "three apart": {3, 90, 150}} {
 		runs := 0
-		got := ddmin(items, func(list []int) bool {
+		got := DDMin(items, func(list []int) bool {
 			runs++
 			for _, n := range need {
 				if !slices.Contains(list, n) {
--- a/internal/lab/experiment/shrink.go
+++ b/internal/lab/experiment/shrink.go
@@ -66,7 +66,7 @@
 	if fails(short) {
 		now = short
 	}
-	now.Faults = ddmin(now.Faults, func(list []faults.Fault) bool {
+	now.Faults = DDMin(now.Faults, func(list []faults.Fault) bool {
 		try := now
 		try.Faults = list
 		return fails(try)
@@ -82,7 +82,7 @@
 			all = append(all, i)
 		}
 	}
-	now.OnlyCalls = ddmin(all, func(list []int) bool {
+	now.OnlyCalls = DDMin(all, func(list []int) bool {
 		if len(list) == 0 { // an empty list would mean all calls
 			return false
 		}
@@ -102,9 +102,9 @@
 	return out, nil
 }
 
-// ddmin leaves out what it can while the rest still fails (Zeller and Hildebrandt, 2002): first half, then quarters,
+// DDMin leaves out what it can while the rest still fails (Zeller and Hildebrandt, 2002): first half, then quarters,
 // down to single ones. The result fails, and no single one of it can be left out.
-func ddmin[T any](items []T, fails func([]T) bool) []T {
+func DDMin[T any](items []T, fails func([]T) bool) []T {
 	for parts := 2; len(items) > 0; {
 		parts = min(parts, len(items))
 		reduced := false
--- a/internal/lab/experiment/survey.go
+++ b/internal/lab/experiment/survey.go
@@ -110,7 +110,7 @@
 		return out
 	}
 	var failed error
-	keep := ddmin(turned, func(keep []int) bool {
+	keep := DDMin(turned, func(keep []int) bool {
 		if failed != nil {
 			return false
 		}
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	ln   net.Listener
 	to   string
 	wait sync.WaitGroup
+	// pieces that came from who asks.
+	pieces atomic.Int64
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -122,10 +125,10 @@
 			back := make(chan struct{})
 			go func() {
 				defer close(back)
-				r.copy(c, far)
+				r.copy(c, far, nil)
 				reset(c)
 			}()
-			r.copy(far, c)
+			r.copy(far, c, &r.pieces)
 			reset(far)
 			<-back
 		})
@@ -150,7 +153,7 @@
 	}
 }
 
-func (r *relay) copy(to, from net.Conn) {
+func (r *relay) copy(to, from net.Conn, count *atomic.Int64) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -160,5 +163,8 @@
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
+		if count != nil {
+			count.Add(1)
+		}
 	}
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -29,6 +29,7 @@
 // Options are what a Rig is made of.
 type Options struct {
 	Agents, Holders int
+	Spares          int // agents that are no members yet; they come after the others
 	Terms           lease.Terms
 	For             time.Duration // of a lease
 	Without         Without
@@ -84,7 +85,7 @@
 	}()
 	// The ports stay taken to the end of this function, so that no two get the same.
 	var addrs []string
-	for range o.Agents + 1 {
+	for range o.Agents + o.Spares + 1 {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -92,7 +93,7 @@
 		defer ln.Close()
 		addrs = append(addrs, ln.Addr().String())
 	}
-	target := addrs[o.Agents]
+	target := addrs[o.Agents+o.Spares]
 	members := map[uint64]string{}
 	for i := range o.Agents {
 		members[uint64(i+1)] = addrs[i]
@@ -101,7 +102,10 @@
 	if err != nil {
 		return nil, err
 	}
-	for i := range o.Agents {
+	for i := range o.Agents + o.Spares {
+		if i == o.Agents {
+			kept = group.Joining()
+		}
 		s := settings{Role: "agent", Name: fmt.Sprint("agent", i+1), Dir: filepath.Join(o.Dir, fmt.Sprint("agent", i+1)), Listen: addrs[i]}
 		if err := agent.Make(s.Dir, agent.Identity{Group: "rig", ID: uint64(i + 1), Address: addrs[i]}, kept); err != nil {
 			return nil, err
@@ -505,10 +509,37 @@
 
 // Schedule plays the schedule of a seed: 3 agents, or 5 for every third, and 3 holders.
 func Schedule(ctx context.Context, seed uint64, without Without) (Found, error) {
+	return play(ctx, seed, without, Faults(seed))
+}
+
+func options(seed uint64, without Without) Options {
 	o := Options{Agents: 3, Holders: 3, Seed: seed, Without: without}
 	if seed%3 == 0 {
 		o.Agents = 5
 	}
+	return o
+}
+
+// Faults are those of a seed's schedule.
+func Faults(seed uint64) []faults.Fault { return Plan(options(seed, Without{}), faulty, count) }
+
+// Fails tells whether these faults of a seed's schedule break something in one of so many tries: when each process does what is
+// not drawn from the seed.
+func Fails(ctx context.Context, seed uint64, without Without, plan []faults.Fault, tries int) (bool, error) {
+	for range tries {
+		f, err := play(ctx, seed, without, plan)
+		if err != nil && !errors.Is(err, ErrIdle) {
+			return false, err
+		}
+		if err != nil || len(f.Broken) > 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func play(ctx context.Context, seed uint64, without Without, plan []faults.Fault) (Found, error) {
+	o := options(seed, without)
 	r, err := Start(o)
 	if err != nil {
 		return Found{}, err
@@ -517,6 +548,6 @@
 	if err := r.Begin(); err != nil {
 		return Found{}, err
 	}
-	err = r.Play(ctx, Plan(o, faulty, count), well)
+	err = r.Play(ctx, plan, well)
 	return Check(r.Log()), err
 }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"tulipglade/internal/agent"
 	"tulipglade/internal/faults"
 	"tulipglade/internal/lease"
 )
@@ -197,6 +198,49 @@
 	}
 }
 
+// A member is replaced while holders act, and the leader is killed in the midst of that: the new one has a say in the end, so that
+// the group goes on without one of the old.
+func TestAMemberIsReplaced(t *testing.T) {
+	r := begin(t, Options{Agents: 3, Spares: 1, Holders: 2})
+	r.await(t, 0, acts(0))
+	var addrs []string
+	for _, p := range r.parts[:3] {
+		addrs = append(addrs, p.Listen)
+	}
+	c := agent.NewClient(addrs, nil)
+	ctx, stop := context.WithTimeout(t.Context(), 40*time.Second)
+	defer stop()
+	lead := r.Leader()
+	out := uint64((lead+1)%3 + 1) // not the one that leads
+	first := make(chan error, 1)
+	go func() {
+		first <- c.Change(ctx, agent.Change{Add: map[uint64]string{4: r.parts[3].Listen}, Remove: []uint64{out}})
+	}()
+	r.await(t, 0, func(e Event) bool { return e.Who == "agent4" && e.What == "leader" }) // it has been heard of
+	r.kill(lead)
+	if err := r.start(lead); err != nil {
+		t.Fatal(err)
+	}
+	<-first // done, or not known
+	for {
+		v, err := c.Look(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(v.Members) == 3 && v.Members[4] != "" && v.Members[out] == "" {
+			break
+		}
+		time.Sleep(50 * time.Millisecond) // whoever leads goes on with it
+	}
+	r.kill(int(out) - 1)
+	r.kill((int(out)-1+1)%3 + 0)
+	_, at := r.await(t, r.Here(), acts(0))
+	r.await(t, at, acts(0))
+	if f := Check(r.Log()); len(f.Broken) > 0 {
+		t.Error(f.Broken)
+	}
+}
+
 // A history that fits no order is found, and so is a schedule after which nobody acts.
 func TestTheChecksCanFail(t *testing.T) {
 	log := []Event{{At: 10, From: 1, Who: "a", What: "acquire", Token: 1, Ask: 1}, {At: 30, From: 20, Who: "b", What: "acquire", Token: 2, Ask: 1}}
--- a/internal/rig/roll_test.go
+++ b/internal/rig/roll_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,6 +21,7 @@
 	"time"
 
 	"tulipglade/internal/agent"
+	"tulipglade/internal/faults"
 	"tulipglade/internal/lab/scenario"
 	"tulipglade/internal/standin"
 )
@@ -482,3 +484,49 @@
 		})
 	}
 }
+
+var rolls = flag.Int("rolls", 0, "of nodes under load, one after the other, each with a fault at the agent that leads")
+
+// As many rolling restarts as -rolls says. It takes 20 s for each, so it is not among the usual tests.
+func TestRolls(t *testing.T) {
+	if *rolls == 0 {
+		t.Skip("-rolls is 0")
+	}
+	r := newAgents(t)
+	g := begin(t, Options{Agents: 3})
+	r.addrs = nil
+	for _, p := range g.parts[:3] {
+		r.addrs = append(r.addrs, p.Listen)
+	}
+	r.startNodes(t)
+	sc, err := scenario.Parse("roll", []byte(rollWorld))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.clients(t.Context(), sc)
+	kinds := []faults.Kind{faults.ProcessKill, faults.LinkCut, faults.ProcessStop, faults.LinkSilent}
+	for i := range *rolls {
+		x := r.roll(t, fmt.Sprint("change ", i))
+		x.await(t, "done", 1+i%6)
+		end := g.Fault(faults.Fault{Kind: kinds[i%len(kinds)], Processes: []int{-1}})
+		if err := <-x.ended; err != nil {
+			t.Errorf("roll %d: %v\n%s", i, err, x.text())
+		}
+		end()
+		if err := g.Heal(); err != nil {
+			t.Fatal(err)
+		}
+		for name, n := range r.changes(t) {
+			if n != i+1 {
+				t.Errorf("%s was changed %d times by %d changes", name, n, i+1)
+			}
+		}
+	}
+	c.stop()
+	c.wait.Wait()
+	r.away(t, 2)
+	t.Logf("%d rolls, %d requests: %d lost, %d refused, %d turned back", *rolls, c.sent.Load(), c.lost.Load(), c.refused.Load(), c.turned.Load())
+	if c.lost.Load()+c.refused.Load() > 0 {
+		t.Error("requests were lost or refused")
+	}
+}
