--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -204,6 +204,9 @@
 	return f, stays
 }
 
+// Target is where what fits would go, by zone where it enters, class and zone where it goes, had it all the time, and what fits nowhere.
+func (p *Planner) Target(s Sums) (to [][][]float64, stays [][]float64) { return p.target(s) }
+
 // place puts classes at home, the first of them first, and what is left of all of them over one ring of edges after the other.
 func (p *Planner) place(classes []int, f flows, rest [][]float64, free []float64) {
 	for z := range free {
