Have agents choose a director, which plans failover through the group's log

Need: who makes the plans of failover must be one at a time, and a plan must reach every machine in order, whoever dies.

A new director listens first, then goes on from the note. Off without the file; an example is in deploy/. Nodes neither tell nor take plans yet.

Also: the test of a stopped holder failed once under load: the stop took hold after the act's connection was being made, which then had timed out. The holder waits for the signal to go on.

--- a/cmd/tulipagent/main.go
+++ b/cmd/tulipagent/main.go
@@ -16,8 +16,10 @@
 	"github.com/urfave/cli/v3"
 
 	"tulipglade/internal/agent"
+	"tulipglade/internal/failover"
 	"tulipglade/internal/group"
 	"tulipglade/internal/lease"
+	"tulipglade/internal/tomlfile"
 )
 
 func main() {
@@ -44,7 +46,8 @@
 					&cli.FloatFlag{Name: "drift", Value: 0.01, Usage: "`SHARE` by which clocks may be fast or slow"}}, Action: initialize},
 			{Name: "join", Usage: "make the folder of a member that is added to a group",
 				Flags: []cli.Flag{dir, name, id, &cli.StringFlag{Name: "address", Usage: "its `ADDRESS`", Required: true}}, Action: join},
-			{Name: "serve", Usage: "run the member until SIGTERM", Flags: []cli.Flag{dir}, Action: serve},
+			{Name: "serve", Usage: "run the member until SIGTERM", Flags: []cli.Flag{dir,
+				&cli.StringFlag{Name: "topology", Usage: "take part in failover by plans, with the zones and classes of `FILE`"}}, Action: serve},
 			{Name: "check", Usage: "tell what a stopped member's folder holds, or what is wrong with it", Flags: []cli.Flag{dir}, Action: check},
 		},
 	}
@@ -91,7 +94,41 @@
 }
 
 func serve(ctx context.Context, cmd *cli.Command) error {
-	return agent.Serve(ctx, cmd.String("dir"), agent.Options{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
+	o := agent.Options{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}
+	if file := cmd.String("topology"); file != "" {
+		plans, err := topology(file)
+		if err != nil {
+			return err
+		}
+		o.Plans = plans
+	}
+	return agent.Serve(ctx, cmd.String("dir"), o)
+}
+
+// topology reads the zones, the prices between them, and the classes.
+func topology(file string) (*agent.Plans, error) {
+	var in struct {
+		Zone  []failover.Zone `toml:"zone"`
+		Price [][]float64     `toml:"price"`
+		Class []struct {
+			Name  string  `toml:"name"`
+			Worth float64 `toml:"worth"` // of a core-second
+		} `toml:"class"`
+	}
+	if err := tomlfile.Load(file, &in); err != nil {
+		return nil, fmt.Errorf("--topology: %w", err)
+	}
+	p := &agent.Plans{Topology: failover.Topology{Zones: in.Zone, Price: in.Price}, Rules: failover.Usual}
+	for _, c := range in.Class {
+		p.Worth = append(p.Worth, c.Worth)
+	}
+	if len(in.Zone) == 0 || len(in.Class) == 0 {
+		return nil, fmt.Errorf("--topology: %s: it has no zones, or no classes", file)
+	}
+	if err := p.Topology.Check(); err != nil {
+		return nil, fmt.Errorf("--topology: %s: price: %w", file, err)
+	}
+	return p, nil
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/cmd/tulipagent/main_test.go
+++ b/cmd/tulipagent/main_test.go
@@ -36,6 +36,8 @@
 		{"join --dir D --id 0 --address 127.0.0.1:1", "--id"},
 		{"join --dir D --id 4 --address host:1", "--address"},
 		{"serve --dir D", "no member lives here"},
+		{"serve --dir D --topology none.toml", "--topology"},
+		{"serve --dir D --topology ../../deploy/topology.example.toml", "no member lives here"},
 		{"check --dir D", "no member lives here"},
 		{"init --dir " + there + " --id 1 --member 1=127.0.0.1:7101", "lives here already"},
 		{"join --dir " + there + " --id 4 --address 127.0.0.1:1", "lives here already"},
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -60,6 +60,7 @@
 	Rate     float64                                                 // of the beats to the machine's clock
 	Disk     func(group.Disk) group.Disk                             // what lies before the disk
 	Dial     func(context.Context, string, string) (net.Conn, error) // to the others
+	Plans    *Plans                                                  // of failover; nil: it takes no part
 	Listener net.Listener                                            // already open, at the member's address
 }
 
@@ -147,7 +148,17 @@
 	defer stop()
 	defer a.wait.Wait()
 	defer a.client.CloseIdleConnections()
-	server := &http.Server{Handler: a.handler(ctx), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second, IdleTimeout: idlePost,
+	mux := a.handler(ctx)
+	if o.Plans != nil {
+		d, err := newDirector(a, *o.Plans)
+		if err != nil {
+			return errors.Join(err, ln.Close())
+		}
+		d.routes(ctx, mux)
+		a.wait.Go(func() { d.pass(ctx) })
+		a.wait.Go(func() { d.direct(ctx) })
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second, IdleTimeout: idlePost,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	a.log.Info("agent serves", "group", a.who.Group, "id", a.who.ID, "addr", a.who.Address, "members", len(a.member.View().Members))
 	var g errgroup.Group
@@ -331,7 +342,7 @@
 // verbs are the commands on leases, by their paths.
 var verbs = map[string]lease.Kind{"acquire": lease.Acquire, "renew": lease.Renew, "release": lease.Release, "most": lease.Most, "note": lease.Note}
 
-func (a *Agent) handler(ctx context.Context) http.Handler {
+func (a *Agent) handler(ctx context.Context) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /raft", a.raft)
 	mux.HandleFunc("POST /lease/{verb}", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -50,6 +50,11 @@
 	Noise    float64     // by which share demand varies with nothing going on
 }
 
+// Empty tells that nobody is known to be able to do anything.
+func (s Sums) Empty() bool {
+	return !slices.ContainsFunc(s.Capacity, func(x float64) bool { return x > 0 })
+}
+
 // Rules are how careful a Planner is.
 type Rules struct {
 	Headroom float64       // share of what a zone can do that nothing from elsewhere is planned into
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -33,7 +33,8 @@
 	Terms           lease.Terms
 	For             time.Duration // of a lease
 	Without         Without
-	Acts            int // that a holder makes before it lets the lease go; 0: some
+	Plans           *agent.Plans // of agents
+	Acts            int          // that a holder makes before it lets the lease go; 0: some
 	Seed            uint64
 	Dir             string // set by Start
 }
@@ -106,7 +107,7 @@
 		if i == o.Agents {
 			kept = group.Joining()
 		}
-		s := settings{Role: "agent", Name: fmt.Sprint("agent", i+1), Dir: filepath.Join(o.Dir, fmt.Sprint("agent", i+1)), Listen: addrs[i]}
+		s := settings{Role: "agent", Name: fmt.Sprint("agent", i+1), Dir: filepath.Join(o.Dir, fmt.Sprint("agent", i+1)), Listen: addrs[i], Plans: o.Plans}
 		if err := agent.Make(s.Dir, agent.Identity{Group: "rig", ID: uint64(i + 1), Address: addrs[i]}, kept); err != nil {
 			return nil, err
 		}
--- a/internal/rig/roles.go
+++ b/internal/rig/roles.go
@@ -44,6 +44,7 @@
 	Target  string            `json:"target,omitempty"`
 	For     time.Duration     `json:"for,omitempty"`
 	Acts    int               `json:"acts,omitempty"`
+	Plans   *agent.Plans      `json:"plans,omitempty"`
 	Without Without           `json:"without"`
 }
 
@@ -149,6 +150,9 @@
 
 func (p *process) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	by, ok := p.Dial[addr]
+	if addr == p.Listen { // itself
+		by, ok = addr, true
+	}
 	if !ok {
 		return nil, fmt.Errorf("%s: no way there", addr)
 	}
@@ -199,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	return agent.Serve(ctx, p.Dir, agent.Options{Log: slog.New(&lines{p}), Clock: p.clock, Dial: p.dial, Listener: ln,
+	return agent.Serve(ctx, p.Dir, agent.Options{Log: slog.New(&lines{p}), Clock: p.clock, Dial: p.dial, Listener: ln, Plans: p.Plans,
 		Disk: func(d group.Disk) group.Disk { return before{p, d} }})
 }
 
@@ -303,7 +307,10 @@
 		p.mu.Unlock()
 		if halt {
 			p.tell(Event{What: "halts", Seat: g.Seat, Token: g.Token})
+			goes := make(chan os.Signal, 1)
+			signal.Notify(goes, syscall.SIGCONT)
 			_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+			<-goes // the stop takes hold a little later: what follows must not have begun by then
 		}
 		resp, err := target.Post(fmt.Sprintf("http://%s/act?seat=%d&token=%d&who=%s", p.Target, g.Seat, g.Token, p.Name), "", nil)
 		if err == nil {
