--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -148,7 +148,7 @@
 	reply   func(lease.Grant, error)
 	look    func(error)
 	since   int  // the beat
-	patient bool // it is not given up for its length
+	patient bool // a change of members that was agreed on: it is not given up for its length
 }
 
 // looked is a look that may be answered once that index is applied.
@@ -383,11 +383,11 @@
 	case len(changes) == 0 || left < 1:
 		no("it leaves %d members", left)
 		return
-	case len(m.conf.GetVotersOutgoing()) > 0, len(learners) > 0 && !(len(add) == 0 && slices.Equal(slices.Sorted(slices.Values(remove)), learners)):
+	case m.joint != 0 && len(learners) == 0, m.taking, len(m.conf.GetVotersOutgoing()) > 0, len(learners) > 0 && !(len(add) == 0 && slices.Equal(slices.Sorted(slices.Values(remove)), learners)):
 		reply(ErrBusy)
 		return
 	}
-	seq, err := m.wait(request{reply: func(_ lease.Grant, err error) { reply(err) }, patient: true})
+	seq, err := m.wait(request{reply: func(_ lease.Grant, err error) { reply(err) }})
 	if err != nil {
 		reply(err)
 		return
@@ -571,6 +571,9 @@
 		}
 	}
 	m.conf, m.changed, m.taking = m.node.ApplyConfChange(&cc), true, false
+	if r := m.waiting[in.Seq]; r != nil && in.By == m.o.ID && in.Life == m.life {
+		r.patient = true
+	}
 	for id, address := range in.Add {
 		m.members[id], m.highest = address, max(m.highest, id)
 	}
@@ -586,7 +589,10 @@
 	})
 	if len(m.conf.GetLearners()) == 0 {
 		m.leaving = nil
-		m.answer(m.joint, lease.Grant{}, nil)
+		// One that raft has dropped, as another was on its way, is not done with that.
+		if r := m.waiting[m.joint]; r != nil && r.patient {
+			m.answer(m.joint, lease.Grant{}, nil)
+		}
 	}
 	return nil
 }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -255,6 +255,30 @@
 	}
 }
 
+// Of two changes at a time one is told no; and one that raft drops, as another is on its way of which this member has not heard, is never
+// told to be done with that one.
+func TestTwoChangesAtATime(t *testing.T) {
+	l := newLan(t, 3)
+	lead := l.leader()
+	first, second := errors.New("no answer"), errors.New("no answer")
+	lead.Change(nil, []uint64{lead.View().ID%3 + 1}, func(err error) { first = err })
+	lead.Change(nil, []uint64{(lead.View().ID+1)%3 + 1}, func(err error) { second = err })
+	if l.settle(); first != nil || !errors.Is(second, ErrBusy) {
+		t.Error(first, second)
+	}
+	if n := len(lead.View().Members); n != 2 {
+		t.Errorf("%d members", n)
+	}
+	if err := lead.proposeChange(change{}, []*pb.ConfChangeSingle{single(pb.ConfChangeAddLearnerNode, 8)}); err != nil {
+		t.Fatal(err)
+	}
+	dropped := l.change(lead, nil, lead.View().ID)
+	l.beats(40)
+	if !errors.Is(*dropped, ErrUnsure) {
+		t.Error("a change that raft has dropped:", *dropped)
+	}
+}
+
 // The only member is replaced: it has to stay until the new one knows that it is alone.
 func TestTheOnlyMemberIsReplaced(t *testing.T) {
 	l := newLan(t, 1)
