--- a/cmd/tulipctl/failover.go
+++ b/cmd/tulipctl/failover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/urfave/cli/v3"
@@ -11,14 +10,9 @@
 )
 
 func labFailover(ctx context.Context, cmd *cli.Command) error {
-	n := cmd.Int("schedules")
-	if n < 1 {
-		return errors.New("failover: --schedules must be above 0")
-	}
-	parts := map[string]failovers.Without{"": {}, "token": {Token: true}, "rate": {Rate: true}, "fade": {Fade: true}, "plans": {Plans: true}}
-	without, ok := parts[cmd.String("without")]
-	if !ok {
-		return fmt.Errorf("failover: --without: %q is none of token, rate, fade, plans", cmd.String("without"))
+	n, without, err := part(cmd, map[string]failovers.Without{"": {}, "token": {Token: true}, "rate": {Rate: true}, "fade": {Fade: true}, "plans": {Plans: true}})
+	if err != nil {
+		return err
 	}
 	o, err := failovers.Many(ctx, cmd.Uint64("seed"), n, without)
 	if err != nil {
--- a/cmd/tulipctl/lab.go
+++ b/cmd/tulipctl/lab.go
@@ -449,15 +449,10 @@
 }
 
 func labLeases(ctx context.Context, cmd *cli.Command) error {
-	n := cmd.Int("schedules")
-	if n < 1 {
-		return fmt.Errorf("leases: --schedules must be above 0")
-	}
-	parts := map[string]leases.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "clock": {Clock: true}, "free": {Free: true},
-		"sync": {Sync: true}}
-	without, ok := parts[cmd.String("without")]
-	if !ok {
-		return fmt.Errorf("leases: --without: %q is none of guard, fence, clock, free, sync", cmd.String("without"))
+	n, without, err := part(cmd, map[string]leases.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "clock": {Clock: true}, "free": {Free: true},
+		"sync": {Sync: true}})
+	if err != nil {
+		return err
 	}
 	members := cmd.Int("members")
 	if members < 0 || members > 9 || members == 0 && without.Sync {
--- a/cmd/tulipctl/main.go
+++ b/cmd/tulipctl/main.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -98,3 +100,17 @@
 		_ = bar.Set(done) // a bar that cannot be drawn is no reason to stop
 	}
 }
+
+// part reads --schedules and --without of a command that plays schedules; parts are by name, and "" is none left out.
+func part[T any](cmd *cli.Command, parts map[string]T) (schedules int, without T, err error) {
+	schedules = cmd.Int("schedules")
+	if schedules < 1 {
+		return 0, without, fmt.Errorf("%s: --schedules must be above 0", cmd.Name)
+	}
+	without, ok := parts[cmd.String("without")]
+	if !ok {
+		return 0, without, fmt.Errorf("%s: --without: %q is none of %s", cmd.Name, cmd.String("without"),
+			strings.TrimPrefix(strings.Join(slices.Sorted(maps.Keys(parts)), ", "), ", "))
+	}
+	return schedules, without, nil
+}
--- a/cmd/tulipctl/processes.go
+++ b/cmd/tulipctl/processes.go
@@ -27,20 +27,19 @@
 }
 
 func labProcesses(ctx context.Context, cmd *cli.Command) error {
-	n, atOnce := cmd.Int("schedules"), cmd.Int("at-once")
-	if n < 1 || atOnce < 1 {
-		return errors.New("processes: --schedules and --at-once must be above 0")
+	n, without, err := part(cmd, map[string]rig.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "sync": {Sync: true}})
+	if err != nil {
+		return err
 	}
-	parts := map[string]rig.Without{"": {}, "guard": {Guard: true}, "fence": {Fence: true}, "sync": {Sync: true}}
-	without, ok := parts[cmd.String("without")]
-	if !ok {
-		return fmt.Errorf("processes: --without: %q is none of guard, fence, sync", cmd.String("without"))
+	atOnce := cmd.Int("at-once")
+	if atOnce < 1 {
+		return errors.New("processes: --at-once must be above 0")
 	}
 	const most = int64(time.Minute / time.Millisecond)
 	all := played{Found: rig.Found{Faults: map[string]int{}}, Gaps: hdrhistogram.New(1, most, 3), Led: hdrhistogram.New(1, most, 3)}
 	show, done := progress(cmd.Root().ErrWriter, "processes"), 0
 	var failed error
-	err := rig.Schedules(ctx, cmd.Uint64("seed"), n, atOnce, without, func(seed uint64, f rig.Found, err error) {
+	err = rig.Schedules(ctx, cmd.Uint64("seed"), n, atOnce, without, func(seed uint64, f rig.Found, err error) {
 		all.Schedules++
 		all.Acts, all.Refused, all.Grants, all.Leaders = all.Acts+f.Acts, all.Refused+f.Refused, all.Grants+f.Grants, all.Leaders+f.Leaders
 		for kind, n := range f.Faults {
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -43,6 +43,29 @@
 	return nil
 }
 
+// Grid is so many regions of so many zones each: one apart within, five between. The lab and tests stand on it.
+func Grid(regions, zones int) Topology {
+	var t Topology
+	for r := range regions {
+		for z := range zones {
+			t.Zones = append(t.Zones, Zone{fmt.Sprint("r", r, "z", z), fmt.Sprint("r", r)})
+		}
+	}
+	for i := range t.Zones {
+		t.Price = append(t.Price, make([]float64, len(t.Zones)))
+		for j := range t.Zones {
+			switch {
+			case i == j:
+			case t.Zones[i].Region == t.Zones[j].Region:
+				t.Price[i][j] = 1
+			default:
+				t.Price[i][j] = 5
+			}
+		}
+	}
+	return t
+}
+
 // Sums are what is known of the fleet at a time. Work is core-seconds per second.
 type Sums struct {
 	Capacity []float64   // by zone: what its boxes can do now, warm as they are
--- a/internal/failover/plan_test.go
+++ b/internal/failover/plan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,29 +16,6 @@
 	"tulipglade/internal/fence"
 )
 
-// grid is three regions of zones each, one unit apart within and five between.
-func grid(regions, zones int) Topology {
-	var t Topology
-	for r := range regions {
-		for z := range zones {
-			t.Zones = append(t.Zones, Zone{fmt.Sprint("r", r, "z", z), fmt.Sprint("r", r)})
-		}
-	}
-	for i := range t.Zones {
-		t.Price = append(t.Price, make([]float64, len(t.Zones)))
-		for j := range t.Zones {
-			switch {
-			case i == j:
-			case t.Zones[i].Region == t.Zones[j].Region:
-				t.Price[i][j] = 1
-			default:
-				t.Price[i][j] = 5
-			}
-		}
-	}
-	return t
-}
-
 func draw(t *rapid.T, zones, classes int) Sums {
 	s := Sums{Noise: rapid.Float64Range(0, 0.1).Draw(t, "noise")}
 	for range zones {
@@ -57,7 +33,7 @@
 // own; what is planned for it grows no faster than allowed; and the target keeps near what fits near.
 func TestAnySums(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		top := grid(rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 3).Draw(t, "zones"))
+		top := Grid(rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 3).Draw(t, "zones"))
 		n, worth := len(top.Zones), []float64{3, 1}
 		p, err := NewPlanner(top, worth, Usual)
 		if err != nil {
@@ -152,7 +128,7 @@
 
 // Beside a linear programme that sees all: as much worth is served, and little more is sent over edges than must be.
 func TestBesideTheOptimum(t *testing.T) {
-	top, worth := grid(3, 3), []float64{5, 3, 1}
+	top, worth := Grid(3, 3), []float64{5, 3, 1}
 	n, classes := len(top.Zones), len(worth)
 	p, err := NewPlanner(top, worth, Usual)
 	if err != nil {
@@ -225,7 +201,7 @@
 // A zone is lost at 60% load: its work goes to the zones of its region and, beyond their room, to the others, within seconds; it comes
 // back as it warms up, and in the end nothing crosses. No zone turns more than once each way.
 func TestAZoneIsLostAndComesBack(t *testing.T) {
-	top := grid(3, 3)
+	top := Grid(3, 3)
 	p, err := NewPlanner(top, []float64{3, 1}, Usual)
 	if err != nil {
 		t.Fatal(err)
@@ -309,7 +285,7 @@
 // Noise changes nothing; without the band it would, and without the rate the loss of a zone is one jump.
 func TestRulesAreNeeded(t *testing.T) {
 	play := func(rules Rules) (changes int, jump float64) {
-		p, err := NewPlanner(grid(1, 3), []float64{3, 1}, rules)
+		p, err := NewPlanner(Grid(1, 3), []float64{3, 1}, rules)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -396,7 +372,7 @@
 }
 
 func BenchmarkStep(b *testing.B) {
-	p, err := NewPlanner(grid(3, 3), []float64{3, 2, 1}, Usual)
+	p, err := NewPlanner(Grid(3, 3), []float64{3, 2, 1}, Usual)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/lab/failovers/failovers.go
+++ b/internal/lab/failovers/failovers.go
@@ -66,29 +66,6 @@
 
 var worth = []float64{3, 1}
 
-// Grid is regions of zones: one apart within, five between.
-func Grid(regions, zones int) failover.Topology {
-	var t failover.Topology
-	for r := range regions {
-		for z := range zones {
-			t.Zones = append(t.Zones, failover.Zone{Name: fmt.Sprint("r", r, "z", z), Region: fmt.Sprint("r", r)})
-		}
-	}
-	for i := range t.Zones {
-		t.Price = append(t.Price, make([]float64, len(t.Zones)))
-		for j := range t.Zones {
-			switch {
-			case i == j:
-			case t.Zones[i].Region == t.Zones[j].Region:
-				t.Price[i][j] = 1
-			default:
-				t.Price[i][j] = 5
-			}
-		}
-	}
-	return t
-}
-
 type play struct {
 	out     Outcome
 	r       *rand.Rand
@@ -456,7 +433,7 @@
 
 // Play plays one schedule.
 func Play(seed uint64, without Without) Outcome {
-	p := &play{r: rand.New(rand.NewPCG(seed, 0xfa11)), events: rand.New(rand.NewPCG(seed, 0xe7e27)), src: des.NewSource(1), without: without, top: Grid(regions, zones), rules: failover.Usual,
+	p := &play{r: rand.New(rand.NewPCG(seed, 0xfa11)), events: rand.New(rand.NewPCG(seed, 0xe7e27)), src: des.NewSource(1), without: without, top: failover.Grid(regions, zones), rules: failover.Usual,
 		seat: lease.New(), from: make([]time.Duration, regions*zones)}
 	p.out.Schedules = 1
 	if without.Rate {
