--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -125,8 +125,15 @@
 
 // Look is what the group has agreed on by now.
 func (c *Client) Look(ctx context.Context) (group.View, error) {
-	a, err := c.ask(ctx, "GET", "/leases", nil, askWithin, nil)
-	if err != nil || a.View == nil {
+	return viewOf(c.ask(ctx, "GET", "/leases", nil, askWithin, nil))
+}
+
+// viewOf is what an answer shows. One without a view, or in which time does not go on, is none of an agent's.
+func viewOf(a Answer, err error) (group.View, error) {
+	if err == nil && (a.View == nil || a.View.Terms.Interval <= 0 && len(a.View.Members) > 0) {
+		err = errors.New("an answer that makes no sense")
+	}
+	if err != nil {
 		return group.View{}, err
 	}
 	return *a.View, nil
@@ -134,21 +141,63 @@
 
 // Status is what one member knows, whatever that is worth.
 func (c *Client) Status(ctx context.Context, member string) (group.View, error) {
-	a, err := c.one(ctx, member, "GET", "/status", nil, askWithin)
-	if err != nil || a.View == nil {
-		return group.View{}, err
-	}
-	return *a.View, nil
+	return viewOf(c.one(ctx, member, "GET", "/status", nil, askWithin))
 }
 
-// Change changes the members, and returns once that is done. It is asked once only: a second time it might be another change.
+// Change changes the members, and returns once that is done. It is asked again only where nothing was done; where that is not known, as
+// another has come to lead, the members show it.
 func (c *Client) Change(ctx context.Context, change Change) error {
-	v, err := c.Look(ctx)
-	if err != nil {
-		return err
+	for {
+		v, err := c.Look(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = c.one(ctx, v.Members[v.Leader], "POST", "/members", change, 0)
+		var not group.NotLeader
+		switch {
+		case errors.As(err, &not):
+		case errors.Is(err, group.ErrUnsure):
+			return c.changed(ctx, change)
+		default:
+			return err
+		}
+		if err := pause(ctx, askPause); err != nil {
+			return err
+		}
+	}
+}
+
+// changed waits until the members are as a change has them.
+func (c *Client) changed(ctx context.Context, change Change) error {
+	for {
+		v, err := c.Look(ctx)
+		if err != nil {
+			return err
+		}
+		as := true
+		for id := range change.Add {
+			as = as && v.Members[id] != ""
+		}
+		for _, id := range change.Remove {
+			as = as && v.Members[id] == ""
+		}
+		if as {
+			return nil
+		}
+		if err := pause(ctx, askPause); err != nil {
+			return fmt.Errorf("%w: %w", group.ErrUnsure, err)
+		}
+	}
+}
+
+// pause waits, or tells that ctx has ended.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
 	}
-	_, err = c.one(ctx, v.Members[v.Leader], "POST", "/members", change, 0)
-	return err
 }
 
 // Do has the group carry out a command that may be asked twice: anything but Acquire without an Ask of its own.
--- a/internal/agent/director.go
+++ b/internal/agent/director.go
@@ -228,10 +228,8 @@
 		d.mu.Lock()
 		sums := d.sums.Sums(now)
 		d.mu.Unlock()
-		if sums.Empty() {
-			continue // it hears of nobody: what there is grows old by itself
-		}
-		if err := d.publish(ctx, l, planner, now, sums); err != nil {
+		err := d.publish(ctx, l, planner, now, sums)
+		if err != nil && !errors.Is(err, failover.ErrNobody) { // what there is grows old by itself
 			return err
 		}
 	}
--- a/internal/agent/holder.go
+++ b/internal/agent/holder.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if v.Terms.Interval <= 0 {
+		return nil, errors.New("a group without terms")
+	}
 	ticks := uint64(2)
 	for v.Terms.Sure(ticks) < w.For {
 		ticks++
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -73,11 +73,6 @@
 	Noise    float64     // by which share demand varies with nothing going on
 }
 
-// Empty tells that nobody is known to be able to do anything.
-func (s Sums) Empty() bool {
-	return !slices.ContainsFunc(s.Capacity, func(x float64) bool { return x > 0 })
-}
-
 // Rules are how careful a Planner is.
 type Rules struct {
 	Headroom float64       // share of what a zone can do that nothing from elsewhere is planned into
@@ -150,6 +145,9 @@
 
 var errSums = errors.New("sums that make no sense")
 
+// ErrNobody is that of sums in which nobody can do anything: whoever plans by them has heard of nobody, and what there is is better.
+var ErrNobody = errors.New("no zone is known to be able to do anything")
+
 // NewPlanner returns one that has made no plan yet; worth is by class, for a core-second.
 func NewPlanner(top Topology, worth []float64, rules Rules) (*Planner, error) {
 	if err := top.Check(); err != nil {
@@ -283,6 +281,9 @@
 	if err := p.check(s); err != nil {
 		return nil, err
 	}
+	if !slices.ContainsFunc(s.Capacity, func(x float64) bool { return x > 0 }) {
+		return nil, ErrNobody
+	}
 	fits, stays := p.target(s)
 	want := p.flows()
 	for z := range want {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -352,8 +352,9 @@
 }
 
 // Change adds members, by id and address, and removes others, in one step by joint consensus. Who is added has no say before it
-// has caught up, and nobody leaves before that. The reply comes once those who leave have no say any more. While some have not
-// caught up the only other change is to give them up, by removing them.
+// has caught up, and nobody leaves before that. The reply comes once those who leave have no say any more; where this member is to leave,
+// another leads before that, and it is not known here. While some have not caught up the only other change is to give them up, by
+// removing them.
 func (m *Member) Change(add map[uint64]string, remove []uint64, reply func(error)) {
 	in := change{Add: add}
 	var changes []*pb.ConfChangeSingle
@@ -384,10 +385,14 @@
 	case len(changes) == 0 || left < 1:
 		no("it leaves %d members", left)
 		return
-	case m.joint != 0 && len(learners) == 0, m.taking, len(m.conf.GetVotersOutgoing()) > 0, len(learners) > 0 && !(len(add) == 0 && slices.Equal(slices.Sorted(slices.Values(remove)), learners)):
+	case m.joint != 0 && len(learners) == 0, len(learners) == 0 && len(m.leaving) > 0, m.taking, len(m.conf.GetVotersOutgoing()) > 0, len(learners) > 0 && !(len(add) == 0 && slices.Equal(slices.Sorted(slices.Values(remove)), learners)):
 		reply(ErrBusy)
 		return
 	}
+	if m.leads && len(add) == 0 && slices.Contains(remove, m.o.ID) {
+		reply(NotLeader{m.handOver(remove)}) // nothing was done: whoever leads then does it
+		return
+	}
 	seq, err := m.wait(request{reply: func(_ lease.Grant, err error) { reply(err) }})
 	if err != nil {
 		reply(err)
@@ -414,9 +419,10 @@
 	return m.node.ProposeConfChange(&pb.ConfChangeV2{Transition: pb.ConfChangeTransitionJointImplicit.Enum(), Changes: changes, Context: context})
 }
 
-// takeIn makes members of those who were added, once all of them have caught up.
+// takeIn makes members of those who were added, once all of them have caught up, and has those leave who are to. It never removes
+// itself: whoever leads at the end is one that stays, and knows that the others have left, whatever becomes of them.
 func (m *Member) takeIn() {
-	if m.taking || len(m.conf.GetLearners()) == 0 || len(m.conf.GetVotersOutgoing()) > 0 {
+	if m.taking || len(m.conf.GetVotersOutgoing()) > 0 || len(m.conf.GetLearners())+len(m.leaving) == 0 {
 		return
 	}
 	s := m.node.Status()
@@ -427,12 +433,33 @@
 		}
 		changes = append(changes, single(pb.ConfChangeAddNode, id))
 	}
-	for _, id := range m.leaving {
-		changes = append(changes, single(pb.ConfChangeRemoveNode, id))
+	switch self := slices.Contains(m.leaving, m.o.ID); {
+	case self && len(changes) == 0:
+		m.handOver(m.leaving)
+		return
+	case !self:
+		for _, id := range m.leaving {
+			changes = append(changes, single(pb.ConfChangeRemoveNode, id))
+		}
 	}
 	m.taking = m.proposeChange(change{}, changes) == nil
 }
 
+// handOver has another member lead that is none of these, if there is one: the one that is least behind. It returns its address.
+func (m *Member) handOver(but []uint64) string {
+	s := m.node.Status()
+	best, match := uint64(0), uint64(0)
+	for _, id := range m.conf.GetVoters() {
+		if p := s.Progress[id]; id != m.o.ID && !slices.Contains(but, id) && p.RecentActive && (best == 0 || p.Match > match) {
+			best, match = id, p.Match
+		}
+	}
+	if best != 0 {
+		m.node.TransferLeader(best)
+	}
+	return m.members[best]
+}
+
 func (m *Member) answer(seq uint64, g lease.Grant, err error) {
 	r := m.waiting[seq]
 	if r == nil {
@@ -576,7 +603,7 @@
 	for id, address := range in.Add {
 		m.members[id], m.highest = address, max(m.highest, id)
 	}
-	if len(in.Add) > 0 {
+	if in.Seq != 0 { // else it is a step of one
 		m.leaving = in.Leave
 	}
 	if len(m.conf.GetVotersOutgoing()) > 0 {
@@ -586,8 +613,8 @@
 	maps.DeleteFunc(m.members, func(id uint64, _ string) bool {
 		return !slices.Contains(m.conf.GetVoters(), id) && !slices.Contains(m.conf.GetLearners(), id)
 	})
-	if len(m.conf.GetLearners()) == 0 {
-		m.leaving = nil
+	m.leaving = slices.DeleteFunc(slices.Clone(m.leaving), func(id uint64) bool { return m.members[id] == "" })
+	if len(m.conf.GetLearners())+len(m.leaving) == 0 {
 		// One that raft has dropped, as another was on its way, is not done with that.
 		if r := m.waiting[m.joint]; r != nil && r.patient {
 			m.answer(m.joint, lease.Grant{}, nil)
@@ -663,8 +690,8 @@
 // Terms are those of the group.
 func (m *Member) Terms() lease.Terms { return m.terms }
 
-// Removed tells that the group has removed this member. It goes on for some seconds all the same: of two members that are left
-// one may not have heard of it, and need this one's vote.
+// Removed tells that the group has removed this member. It goes on for some seconds all the same: a member that has not heard of it
+// yet may need this one's vote.
 func (m *Member) Removed() bool {
 	return len(m.members) > 0 && m.members[m.o.ID] == "" && m.applied > 0
 }
