Use what was there already: a limited listener, free ports, the loopback check

Need: reading the change again: the agent had a limited listener of its own where x/net has one; rig found free ports in its own way and needed two calls for it; the check for loopback stood twice; sums of schedules were added up by hand in two places; a full disk and a failed sync were one fault under two names; a plan of 9 zones and 3 classes could outgrow a note of 8 KiB, which nobody checked; and nothing failed if a director did not go on from the plan before.

After a failed sync the write may be there. Notes hold 32 KiB, 128 leases may have one; an agent whose plans could not fit does not start, by failover.Size, which a property test holds plans against. Revisions must grow over directors in the rig's test. Settings that nothing set are gone.

--- a/cmd/tulipagent/main_test.go
+++ b/cmd/tulipagent/main_test.go
@@ -28,7 +28,7 @@
 		{"init --dir D --id 1 --member 127.0.0.1:1", "--member"},
 		{"init --dir D --id 1 --member 0=127.0.0.1:1", "--member"},
 		{"init --dir D --id 1 --member 1=127.0.0.1:1 --member 1=127.0.0.1:2", "--member"},
-		{"init --dir D --id 1 --member 1=10.0.0.1:1", "--member: \"10.0.0.1:1\": not an address of the loopback"},
+		{"init --dir D --id 1 --member 1=10.0.0.1:1", "--member: \"10.0.0.1:1\": not a loopback address"},
 		{"init --dir D --id 1 --member 1=127.0.0.1:0", "--member"},
 		{"init --dir D --id 2 --member 1=127.0.0.1:1", "--id"},
 		{"init --dir D --id 1 --member 1=127.0.0.1:1 --interval 1ms", "--interval"},
--- a/cmd/tulipctl/load.go
+++ b/cmd/tulipctl/load.go
@@ -21,6 +21,7 @@
 	"tulipglade/internal/lab/scenario"
 	"tulipglade/internal/lab/world"
 	"tulipglade/internal/load"
+	"tulipglade/internal/loopback"
 	"tulipglade/internal/standin"
 )
 
@@ -360,7 +361,7 @@
 	listen := cmd.String("listen")
 	var boxes []*url.URL
 	for _, a := range append(cmd.StringSlice("box"), listen) {
-		if err := standin.CheckLoopback(a); err != nil {
+		if err := loopback.Check(a); err != nil {
 			return err
 		}
 		boxes = append(boxes, &url.URL{Scheme: "http", Host: a})
--- a/cmd/tulipctl/processes.go
+++ b/cmd/tulipctl/processes.go
@@ -19,11 +19,9 @@
 // played is what schedules between processes have shown, together.
 type played struct {
 	rig.Found
-	Schedules int                     `json:"schedules"`
-	Idle      int                     `json:"idle"`
-	Gaps      *hdrhistogram.Histogram `json:"-"`
-	Led       *hdrhistogram.Histogram `json:"-"`
-	First     uint64                  `json:"first,omitempty"` // that broke something
+	Schedules int    `json:"schedules"`
+	Idle      int    `json:"idle"`
+	First     uint64 `json:"first,omitempty"` // that broke something
 }
 
 func labProcesses(ctx context.Context, cmd *cli.Command) error {
@@ -36,21 +34,15 @@
 		return errors.New("processes: --at-once must be above 0")
 	}
 	const most = int64(time.Minute / time.Millisecond)
-	all := played{Found: rig.Found{Faults: map[string]int{}}, Gaps: hdrhistogram.New(1, most, 3), Led: hdrhistogram.New(1, most, 3)}
+	all := played{}
 	show, done := progress(cmd.Root().ErrWriter, "processes"), 0
 	var failed error
 	err = rig.Schedules(ctx, cmd.Uint64("seed"), n, atOnce, without, func(seed uint64, f rig.Found, err error) {
 		all.Schedules++
-		all.Acts, all.Refused, all.Grants, all.Leaders = all.Acts+f.Acts, all.Refused+f.Refused, all.Grants+f.Grants, all.Leaders+f.Leaders
-		for kind, n := range f.Faults {
-			all.Faults[kind] += n
-		}
-		for _, g := range f.Gaps {
-			failed = errors.Join(failed, all.Gaps.RecordValue(g.Milliseconds()))
-		}
-		for _, g := range f.Led {
-			failed = errors.Join(failed, all.Led.RecordValue(g.Milliseconds()))
+		for i := range f.Broken {
+			f.Broken[i] = fmt.Sprintf("schedule %d: %s", seed, f.Broken[i])
 		}
+		all.Add(f)
 		if errors.Is(err, rig.ErrIdle) {
 			all.Idle++
 		} else if err != nil {
@@ -59,9 +51,6 @@
 		if (err != nil || len(f.Broken) > 0) && (all.First == 0 || seed < all.First) {
 			all.First = seed
 		}
-		for _, b := range f.Broken {
-			all.Broken = append(all.Broken, fmt.Sprintf("schedule %d: %s", seed, b))
-		}
 		if done++; show != nil {
 			show(done, n)
 		}
@@ -82,10 +71,16 @@
 		}
 		for _, h := range []struct {
 			what string
-			of   *hdrhistogram.Histogram
+			of   []time.Duration
 		}{{"from a holder's kill, stop or cut to the next one's first act", all.Gaps}, {"from a leader's kill, stop or cut to another's lead", all.Led}} {
-			if h.of.TotalCount() > 0 {
-				fmt.Fprintf(t, "%s, ms\tp50 %d, p99 %d, max %d, of %d\n", h.what, h.of.ValueAtQuantile(50), h.of.ValueAtQuantile(99), h.of.Max(), h.of.TotalCount())
+			took := hdrhistogram.New(1, most, 3)
+			for _, d := range h.of {
+				if err := took.RecordValue(d.Milliseconds()); err != nil {
+					return err
+				}
+			}
+			if len(h.of) > 0 {
+				fmt.Fprintf(t, "%s, ms\tp50 %d, p99 %d, max %d, of %d\n", h.what, took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(), len(h.of))
 			}
 		}
 		if err := t.Flush(); err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,11 +21,13 @@
 	"time"
 
 	pb "go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"tulipglade/internal/group"
 	"tulipglade/internal/lease"
+	"tulipglade/internal/loopback"
 )
 
 // Beat is one step of the clock by which a leader is missed; Silence is for how many of them, to twice as many.
@@ -41,7 +43,7 @@
 	postMost    = 256  // of messages that wait for another one
 	postWithin  = Silence * Beat
 	idlePost    = time.Minute
-	bodyMost    = 64 << 10
+	bodyMost    = 4 * lease.NoteMost // of a request: quotes in a note take more than they are
 	messageMost = 32 << 20
 	connsMost   = 1024
 	batch       = 256 // requests between two writes
@@ -57,7 +59,6 @@
 type Options struct {
 	Log      *slog.Logger
 	Clock    func() time.Duration                                    // monotonic
-	Rate     float64                                                 // of the beats to the machine's clock
 	Disk     func(group.Disk) group.Disk                             // what lies before the disk
 	Dial     func(context.Context, string, string) (net.Conn, error) // to the others
 	Plans    *Plans                                                  // of failover; nil: it takes no part
@@ -68,7 +69,6 @@
 type Agent struct {
 	o      Options
 	who    Identity
-	disk   *Disk
 	member *group.Member
 	do     chan func()
 	down   chan struct{} // closed when the member's goroutine has ended
@@ -88,13 +88,10 @@
 
 // CheckAddress tells whether a member may listen there.
 func CheckAddress(addr string) error {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("%q: %w", addr, err)
-	}
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		return fmt.Errorf("%q: not an address of the loopback", addr)
+	if err := loopback.Check(addr); err != nil {
+		return err
 	}
+	_, port, _ := net.SplitHostPort(addr) // it has just been split
 	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
 		return fmt.Errorf("%q: no such port", addr)
 	}
@@ -110,9 +107,6 @@
 		began := time.Now()
 		o.Clock = func() time.Duration { return time.Since(began) }
 	}
-	if o.Rate == 0 {
-		o.Rate = 1
-	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: postWithin}).DialContext
 	}
@@ -121,7 +115,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, disk.Close()) }()
-	a := &Agent{o: o, who: disk.Who, disk: disk, do: make(chan func(), queueMost), down: make(chan struct{}), log: o.Log, posts: map[string]chan post{}}
+	a := &Agent{o: o, who: disk.Who, do: make(chan func(), queueMost), down: make(chan struct{}), log: o.Log, posts: map[string]chan post{}}
 	a.client = &http.Client{Timeout: postWithin, Transport: &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idlePost,
 		DisableCompression: true}}
 	var saves group.Disk = disk
@@ -164,7 +158,7 @@
 	var g errgroup.Group
 	g.Go(func() error {
 		defer stop()
-		if err := server.Serve(&few{Listener: ln, room: make(chan struct{}, connsMost)}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(netutil.LimitListener(ln, connsMost)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -185,7 +179,7 @@
 
 // run is the member's goroutine.
 func (a *Agent) run(ctx context.Context) error {
-	beat := time.NewTicker(time.Duration(float64(Beat) / a.o.Rate))
+	beat := time.NewTicker(Beat)
 	defer beat.Stop()
 	led, leader, removed := false, uint64(0), time.Duration(0)
 	for {
@@ -475,29 +469,3 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
-// few is a listener with so many connections at a time.
-type few struct {
-	net.Listener
-	room chan struct{}
-}
-
-type one struct {
-	net.Conn
-	leave func()
-}
-
-func (f *few) Accept() (net.Conn, error) {
-	f.room <- struct{}{} // the rest wait in the system's queue
-	c, err := f.Listener.Accept()
-	if err != nil {
-		<-f.room
-		return nil, err
-	}
-	return &one{c, sync.OnceFunc(func() { <-f.room })}, nil
-}
-
-func (o *one) Close() error {
-	defer o.leave()
-	return o.Conn.Close()
-}
--- a/internal/agent/director.go
+++ b/internal/agent/director.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tulipglade/internal/failover"
+	"tulipglade/internal/lease"
 )
 
 // Plans has an agent take part in failover: it takes in what its machine's nodes tell, and is the director when it has the seat.
@@ -47,6 +48,10 @@
 	if _, err := failover.NewPlanner(p.Topology, p.Worth, p.Rules); err != nil {
 		return nil, err
 	}
+	if size := failover.Size(len(p.Topology.Zones), len(p.Worth)); size > lease.NoteMost {
+		return nil, fmt.Errorf("topology: a plan of %d zones and %d classes may have %d bytes, and a note %d", len(p.Topology.Zones), len(p.Worth), size,
+			lease.NoteMost)
+	}
 	var members []string
 	for _, address := range a.member.View().Members {
 		members = append(members, address)
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -99,6 +99,9 @@
 	Rows     [][]Row     `json:"rows"` // by zone where requests enter, and class
 }
 
+// Size is how many bytes the JSON of a plan may have at most: numbers of 24 digits, and reasons of 200 bytes.
+func Size(zones, classes int) int { return 100 + zones*classes*(zones*25+230) }
+
 // Newer tells whether p is to be taken in the place of another.
 func (p *Plan) Newer(than *Plan) bool {
 	return than == nil || cmp.Or(cmp.Compare(p.Token, than.Token), cmp.Compare(p.Revision, than.Revision)) > 0
--- a/internal/failover/plan_test.go
+++ b/internal/failover/plan_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"encoding/json"
 	"errors"
 	"math"
 	"math/rand/v2"
@@ -62,6 +63,9 @@
 			if err := h.Take(plan, now); err != nil {
 				t.Fatal(err)
 			}
+			if raw, err := json.Marshal(plan); err != nil || len(raw) > Size(n, len(worth)) {
+				t.Fatalf("%v: a plan of %d bytes, at most %d were said", err, len(raw), Size(n, len(worth)))
+			}
 			for to := range n {
 				own, come, grown, natural := 0.0, 0.0, 0.0, 0.0
 				for z := range n {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -53,11 +53,13 @@
 	ErrFull    = errors.New("too many leases")
 )
 
+// NoteMost is how many bytes a note may have.
+const NoteMost = 32 << 10
+
 // Bounds of what a State holds.
 const (
 	nameMost   = 128     // bytes of Name and Who
-	noteMost   = 8 << 10 // bytes of a note
-	notesMost  = 256     // names with a note
+	notesMost  = 128     // names with a note
 	leasesMost = 4096    // names with a holder, or with a number of seats of their own
 	seatsMost  = 1024    // of one lease
 	ticksMost  = 1 << 20 // of one grant
@@ -90,7 +92,7 @@
 		}
 		return Grant{}, nil
 	}
-	if c.Name == "" || len(c.Name) > nameMost || len(c.Who) > nameMost || c.Ticks > ticksMost || len(c.Text) > noteMost {
+	if c.Name == "" || len(c.Name) > nameMost || len(c.Who) > nameMost || c.Ticks > ticksMost || len(c.Text) > NoteMost {
 		return Grant{}, ErrBad
 	}
 	l := s.leases[c.Name]
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -164,7 +164,7 @@
 	}
 	first := hold("x")
 	note("x", first, "half done", nil)
-	note("x", first, string(make([]byte, noteMost+1)), ErrBad)
+	note("x", first, string(make([]byte, NoteMost+1)), ErrBad)
 	_, _ = s.Apply(Command{Kind: Tick}) // can't be refused
 	note("x", first, "mine", ErrNotHeld)
 	raw, err := s.Snapshot()
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -22,8 +22,8 @@
 	"tulipglade/internal/clients"
 	"tulipglade/internal/faults"
 	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/loopback"
 	"tulipglade/internal/protocol"
-	"tulipglade/internal/standin"
 )
 
 // Plan is one run.
@@ -141,7 +141,7 @@
 		p.Lag = DefaultLag
 	}
 	for _, t := range p.Targets {
-		if err := standin.CheckLoopback(t); err != nil {
+		if err := loopback.Check(t); err != nil {
 			return nil, fmt.Errorf("target %w", err)
 		}
 	}
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -24,6 +24,18 @@
 	Led []time.Duration `json:"-"`
 }
 
+// Add adds what another log shows.
+func (f *Found) Add(g Found) {
+	f.Acts, f.Refused, f.Grants, f.Leaders = f.Acts+g.Acts, f.Refused+g.Refused, f.Grants+g.Grants, f.Leaders+g.Leaders
+	f.Broken, f.Gaps, f.Led = append(f.Broken, g.Broken...), append(f.Gaps, g.Gaps...), append(f.Led, g.Led...)
+	if f.Faults == nil {
+		f.Faults = map[string]int{}
+	}
+	for kind, n := range g.Faults {
+		f.Faults[kind] += n
+	}
+}
+
 // away are the faults by which a process is out of the group's reach.
 var away = []string{"process-kill", "process-stop", "link-cut"}
 
--- a/internal/rig/director_test.go
+++ b/internal/rig/director_test.go
@@ -39,7 +39,7 @@
 		x.wait.Go(func() {
 			for ctx.Err() == nil {
 				do()
-				sleep(ctx, 50*time.Millisecond, 100*time.Millisecond)
+				_ = sleep(ctx, 50*time.Millisecond, 100*time.Millisecond)
 			}
 		})
 	}
@@ -74,7 +74,8 @@
 			}
 			x.mu.Lock()
 			defer x.mu.Unlock()
-			if was := x.plans[a]; was != nil && was.Newer(&plan) {
+			// Revisions go on over directors, too: each goes on from the plan of the one before.
+			if was := x.plans[a]; was != nil && (was.Newer(&plan) || plan.Revision < was.Revision) {
 				x.wrong = append(x.wrong, fmt.Sprintf("%s: plan %d/%d after %d/%d", a, plan.Token, plan.Revision, was.Token, was.Revision))
 			}
 			if err := plan.Check(3, 2); err != nil {
--- a/internal/rig/measure.go
+++ b/internal/rig/measure.go
@@ -45,9 +45,6 @@
 		return m, err
 	}
 	defer r.Stop()
-	if err := r.Begin(); err != nil {
-		return m, err
-	}
 	leads := func(e Event) bool { return e.What == "lead" && strings.Contains(e.Text, "leads=true") }
 	_, at, err := r.Await(ctx, 0, leads)
 	if err != nil {
@@ -86,15 +83,6 @@
 	return m, nil
 }
 
-func pauseFor(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // grants has 64 clients take and release a lease each as fast as they can.
 func (m *Measured) grants(ctx context.Context, addrs []string, length time.Duration) error {
 	ctx, stop := context.WithTimeout(ctx, length)
@@ -207,7 +195,7 @@
 		return c, err
 	}
 	began := time.Now()
-	if err := pauseFor(ctx, length); err != nil {
+	if err := sleep(ctx, length, length); err != nil {
 		return c, err
 	}
 	after, kb, sent, err := look()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,6 +23,7 @@
 	"tulipglade/internal/faults"
 	"tulipglade/internal/group"
 	"tulipglade/internal/lease"
+	"tulipglade/internal/standin"
 )
 
 // Options are what a Rig is made of.
@@ -51,13 +51,11 @@
 	cmd   *exec.Cmd
 	in    io.WriteCloser
 	ended chan struct{}
-	held  bool // stopped by SIGSTOP
 }
 
 // Rig is processes with relays between them, and their one log.
 type Rig struct {
 	o      Options
-	began  time.Duration
 	parts  []*part // agents, then holders, then the target
 	relays map[[2]int]*relay
 	wait   sync.WaitGroup
@@ -78,21 +76,15 @@
 	if o.Dir, err = os.MkdirTemp("", "rig"); err != nil {
 		return nil, err
 	}
-	r = &Rig{o: o, began: agent.Clock(), relays: map[[2]int]*relay{}, more: make(chan struct{}), on: map[int]func(int, int) (link, bool){}}
+	r = &Rig{o: o, relays: map[[2]int]*relay{}, more: make(chan struct{}), on: map[int]func(int, int) (link, bool){}}
 	defer func() {
 		if err != nil {
 			r.Stop()
 		}
 	}()
-	// The ports stay taken to the end of this function, so that no two get the same.
-	var addrs []string
-	for range o.Agents + o.Spares + 1 {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		addrs = append(addrs, ln.Addr().String())
+	addrs, err := standin.FreeAddrs(o.Agents + o.Spares + 1)
+	if err != nil {
+		return nil, err
 	}
 	target := addrs[o.Agents+o.Spares]
 	members := map[uint64]string{}
@@ -133,17 +125,12 @@
 		}
 	}
 	r.parts[len(r.parts)-1].Without = o.Without
-	return r, nil
-}
-
-// Begin starts all processes. It is apart from Start, which keeps their ports until it returns.
-func (r *Rig) Begin() error {
 	for i := range r.parts {
 		if err := r.start(i); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return r, nil
 }
 
 func (r *Rig) start(i int) error {
@@ -181,7 +168,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.in, p.ended, p.held = cmd, in, make(chan struct{}), false
+	p.cmd, p.in, p.ended = cmd, in, make(chan struct{})
 	ended := p.ended
 	r.wait.Go(func() {
 		lines := bufio.NewScanner(out)
@@ -267,7 +254,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.parts[i]; p.cmd != nil {
-		p.held = s == syscall.SIGSTOP
 		_ = p.cmd.Process.Signal(s) // it may have ended
 	}
 }
@@ -368,7 +354,7 @@
 		r.order(who, fmt.Sprint("stall ", f.Size))
 		return func() { r.order(who, "stall 0") }
 	case faults.DiskFull, faults.DiskSync:
-		r.order(who, "disk")
+		r.order(who, map[faults.Kind]string{faults.DiskFull: "full", faults.DiskSync: "sync"}[f.Kind])
 		return func() { // by then it has ended, if it had anything to write
 			r.kill(who)
 			again()
@@ -546,9 +532,6 @@
 		return Found{}, err
 	}
 	defer r.Stop()
-	if err := r.Begin(); err != nil {
-		return Found{}, err
-	}
 	err = r.Play(ctx, plan, well)
 	return Check(r.Log()), err
 }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -29,15 +29,12 @@
 
 // Schedules of faults between real processes: what must hold holds, and somebody acts again after each.
 func TestSchedules(t *testing.T) {
-	sum := Found{Faults: map[string]int{}}
+	var sum Found
 	err := Schedules(t.Context(), 1, 12, 4, Without{}, func(seed uint64, f Found, err error) {
 		if err != nil || len(f.Broken) > 0 {
 			t.Errorf("schedule %d: %v %v", seed, err, f.Broken)
 		}
-		sum.Acts, sum.Grants, sum.Refused, sum.Leaders = sum.Acts+f.Acts, sum.Grants+f.Grants, sum.Refused+f.Refused, sum.Leaders+f.Leaders
-		for k, n := range f.Faults {
-			sum.Faults[k] += n
-		}
+		sum.Add(f)
 	})
 	t.Logf("%+v", sum)
 	if err != nil || len(sum.Faults) < 10 || sum.Acts < 12 {
@@ -52,9 +49,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Stop)
-	if err := r.Begin(); err != nil {
-		t.Fatal(err)
-	}
 	return r
 }
 
--- a/internal/rig/roles.go
+++ b/internal/rig/roles.go
@@ -100,7 +100,8 @@
 	bent  time.Duration // what its clock showed then
 	rate  float64
 	stall time.Duration
-	disk  error
+	full  bool // nothing can be written
+	sync  bool // what is written fails its sync
 	halt  bool // stop between the next check and its act
 }
 
@@ -138,8 +139,10 @@
 			p.bent += time.Duration(x) * time.Millisecond
 		case "stall":
 			p.stall = time.Duration(x) * time.Millisecond
-		case "disk":
-			p.disk = errFault
+		case "full":
+			p.full = true
+		case "sync":
+			p.sync = true
 		case "halt":
 			p.halt = true
 		}
@@ -189,13 +192,19 @@
 
 func (b before) Save(w group.Write) error {
 	b.p.mu.Lock()
-	stall, err := b.p.stall, b.p.disk
+	stall, full, sync := b.p.stall, b.p.full, b.p.sync
 	b.p.mu.Unlock()
 	time.Sleep(stall)
-	if err != nil || b.p.Without.Sync {
+	switch {
+	case full:
+		return errFault
+	case b.p.Without.Sync:
+		return nil
+	}
+	if err := b.disk.Save(w); err != nil || !sync {
 		return err
 	}
-	return b.disk.Save(w)
+	return errFault // it may be there, or not
 }
 
 func (p *process) agent(ctx context.Context) error {
@@ -226,7 +235,7 @@
 			Margin: 50 * time.Millisecond})
 		stop()
 		if err != nil {
-			sleep(ctx, 50*time.Millisecond, 200*time.Millisecond)
+			_ = sleep(ctx, 50*time.Millisecond, 200*time.Millisecond)
 			continue
 		}
 		g, _ := l.Grant()
@@ -238,7 +247,7 @@
 			stop()
 		}
 		p.tell(Event{What: "done", Seat: g.Seat, Token: g.Token})
-		sleep(ctx, 0, 200*time.Millisecond)
+		_ = sleep(ctx, 0, 200*time.Millisecond)
 	}
 	return nil
 }
@@ -287,10 +296,13 @@
 	return resp, nil
 }
 
-func sleep(ctx context.Context, least, most time.Duration) {
+// sleep waits for a time between these, or tells that ctx has ended.
+func sleep(ctx context.Context, least, most time.Duration) error {
 	select {
 	case <-ctx.Done():
+		return ctx.Err()
 	case <-time.After(least + time.Duration(rand.Int64N(int64(most-least)+1))):
+		return nil
 	}
 }
 
@@ -316,14 +328,14 @@
 		if err == nil {
 			_ = resp.Body.Close()
 		}
-		sleep(ctx, 0, 100*time.Millisecond)
+		_ = sleep(ctx, 0, 100*time.Millisecond)
 	}
 	for p.Without.Guard && ctx.Err() == nil { // it goes by nothing
 		resp, err := target.Post(fmt.Sprintf("http://%s/act?seat=%d&token=%d&who=%s", p.Target, g.Seat, g.Token, p.Name), "", nil)
 		if err == nil {
 			_ = resp.Body.Close()
 		}
-		sleep(ctx, 50*time.Millisecond, 100*time.Millisecond)
+		_ = sleep(ctx, 50*time.Millisecond, 100*time.Millisecond)
 	}
 }
 
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tulipglade/internal/faults"
+	"tulipglade/internal/loopback"
 )
 
 // Control serves a small HTTP port by which faults are ordered and figures read while a world runs, until the world is
@@ -20,7 +21,7 @@
 //	GET /report           what has been seen so far
 //	GET /runs/{id}        how often the request of that id has begun to run
 func (w *World) Control(addr string) (string, error) {
-	if err := CheckLoopback(addr); err != nil {
+	if err := loopback.Check(addr); err != nil {
 		return "", fmt.Errorf("control: %w", err)
 	}
 	ln, err := net.Listen("tcp4", addr)
--- a/internal/standin/null.go
+++ b/internal/standin/null.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"tulipglade/internal/loopback"
 	"tulipglade/internal/protocol"
 )
 
@@ -25,7 +26,7 @@
 // StartNull serves on a loopback address. Delay tells for the moment at which a request has come when its answer is due;
 // nil: at once. Sleep waits for that moment.
 func StartNull(addr string, delay func(time.Time) time.Time, sleep func(time.Time)) (*Null, error) {
-	if err := CheckLoopback(addr); err != nil {
+	if err := loopback.Check(addr); err != nil {
 		return nil, err
 	}
 	ln, err := net.Listen("tcp4", addr)
@@ -117,7 +118,7 @@
 
 // Listen listens on a loopback address and on nothing else.
 func Listen(addr string) (net.Listener, error) {
-	if err := CheckLoopback(addr); err != nil {
+	if err := loopback.Check(addr); err != nil {
 		return nil, err
 	}
 	return net.Listen("tcp4", addr)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +17,7 @@
 	"tulipglade/internal/faults"
 	"tulipglade/internal/lab/scenario"
 	"tulipglade/internal/lab/world"
+	"tulipglade/internal/loopback"
 )
 
 // Options say how a World is served.
@@ -33,21 +33,6 @@
 	Ready func(node int)
 }
 
-// ErrNotLoopback is an address that is not within 127.0.0.0/8 or ::1.
-var ErrNotLoopback = errors.New("not a loopback address")
-
-// CheckLoopback refuses every address off loopback: a stand-in must never be reached, nor reach out, over a network.
-func CheckLoopback(addr string) error {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("%q: %w", addr, err)
-	}
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		return fmt.Errorf("%q: %w", addr, ErrNotLoopback)
-	}
-	return nil
-}
-
 // World is a running set of stand-ins.
 type World struct {
 	sc      *scenario.Scenario
@@ -84,7 +69,7 @@
 // Start serves the scenario until ctx ends or Close is called.
 func Start(ctx context.Context, sc *scenario.Scenario, opts Options) (*World, error) {
 	for i, a := range opts.Nodes {
-		if err := CheckLoopback(a); err != nil {
+		if err := loopback.Check(a); err != nil {
 			return nil, fmt.Errorf("node %d: %w", i, err)
 		}
 	}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -18,6 +18,7 @@
 
 	"tulipglade/internal/faults"
 	"tulipglade/internal/lab/scenario"
+	"tulipglade/internal/loopback"
 )
 
 const small = `
@@ -470,7 +471,7 @@
 	}
 	c.send("/read", "b", "")
 	c.want(200)
-	if _, err := w.Control("0.0.0.0:0"); !errors.Is(err, ErrNotLoopback) {
+	if _, err := w.Control("0.0.0.0:0"); !errors.Is(err, loopback.ErrNot) {
 		t.Errorf("%v", err)
 	}
 }
