Send nothing on after its answer, and open a silent watch anew at once

Ruled out: late or second answers on pooled connections (no answer changed its request in the traces), connections closed unread (0 not taken), missed deadlines (no `request overdue`). Now reuse drops an attempt whose request is over, as one that never ran, and Node.end closes what is still being written.

But what a silent watch misses counts as told 6 s after it fell silent, however many nodes there are. watch.go noticed it only as that time ended. Now it is noticed within 5 s (waits of 2 to 4 s, drawn so that a change does not set all nodes in step, 1 s of slack), told apart from a refused call, and the first call after it follows within 0.7 s.

--- a/api.go
+++ b/api.go
@@ -105,7 +105,8 @@
 	ListDelta ListKind = iota
 	ListFull
 	ListCached
-	ListFailed
+	ListFailed // the call was refused, or broke off
+	ListSilent // it was not answered at all: where it was a watch, others may still hear of changes
 )
 
 // Report is a host's own account of its load; a field not reported is negative.
--- a/balancer.go
+++ b/balancer.go
@@ -42,6 +42,7 @@
 	badUsual    = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
 	askFirst    = 0.5       // of the longest silence may pass before the first call to discovery
 	askEach     = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
+	askAnew     = 1.0 / 16  // of it goes by at most until the call after one that was not answered
 	ejectMost   = 5         // doublings of the time out
 )
 
@@ -662,11 +663,14 @@
 		b.act.WakeAt(wakeAsk, Span(b.random()*min(b.askSpread(), askFirst*float64(b.cfg.AskEvery))))
 	}
 	switch kind {
-	case ListFailed:
+	case ListFailed, ListSilent:
 		b.watching = false
 		b.log("discovery: lost")
-		b.askAgain(max(float64(b.period)/4, b.askSpread()) * math.Exp2(float64(min(b.askFails, ejectMost))))
-		b.askFails++
+		after := max(float64(b.period)/4, b.askSpread()) * math.Exp2(float64(min(b.askFails, ejectMost)))
+		if b.askFails++; kind == ListSilent && b.askFails == 1 { // what is missed soon counts as told
+			after = min(after, askAnew*float64(b.cfg.AskEvery))
+		}
+		b.askAgain(after)
 		return
 	case ListDelta, ListFull:
 		b.watching, b.askFails = true, 0
@@ -693,7 +697,6 @@
 
 // askAgain sets the next call to discovery, at a chance moment so that gateways do not call together.
 func (b *Balancer) askAgain(after float64) {
-	d := Span(after*(0.25+0.75*b.random())) + b.cfg.Tick
-	b.askAt = b.now + d
-	b.act.WakeAt(wakeAsk, d)
+	b.askAt = b.now + b.cfg.Tick + Span(after*(0.25+0.75*b.random()))
+	b.act.WakeAt(wakeAsk, b.askAt-b.now)
 }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -514,6 +514,33 @@
 	}
 }
 
+func TestSilentWatchIsOpenedAnewAtOnce(t *testing.T) {
+	// Guards: one of 279 gateways whose watch had fallen silent called again after up to 17 s, as all spread their calls
+	// over the time that discovery needs for all; hosts that drained got requests meanwhile (join+mass, 664 in one day).
+	for _, peers := range []int{3, 300, 1024} {
+		cfg := settings()
+		cfg.AskDiscovery, cfg.Peers = true, peers
+		for seed := range uint64(20) {
+			g := startSeed(t, seed, cfg, hosts(2)...)
+			g.run(cfg.AskEvery)
+			g.b.Members(g.now, ListDelta, nil)
+			before := g.asked
+			g.b.Members(g.now, ListSilent, nil)
+			if g.run(700 * ms); g.asked != before+1 {
+				t.Fatalf("%d gateways: %d calls within 0.7 s of a silence", peers, g.asked-before)
+			}
+			for range 2 { // it is out of reach, not one watch of it
+				before = g.asked
+				g.b.Members(g.now, ListSilent, nil)
+				if g.run(700 * ms); peers > 100 && g.asked != before {
+					t.Fatalf("%d gateways: called again though it does not answer", peers)
+				}
+				g.run(200000 * ms)
+			}
+		}
+	}
+}
+
 func TestPushedDiscoveryIsNotAsked(t *testing.T) {
 	g := start(t, settings(), hosts(2)...)
 	g.run(60000 * ms)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -157,7 +158,9 @@
 type heard chan string
 
 func (h heard) Members(l protocol.List, _ bool) { h <- fmt.Sprint("list ", l.Rev, l.All) }
-func (h heard) MembersFailed(error)             { h <- "failed" }
+func (h heard) MembersFailed(_ error, silent bool) {
+	h <- map[bool]string{false: "failed", true: "silent"}[silent]
+}
 
 func (h heard) want(t *testing.T, want string) {
 	t.Helper()
@@ -191,7 +194,7 @@
 	defer srv.CloseClientConnections()
 	to := make(heard, 10)
 	w := newWatch(srv.Listener.Addr().String(), 41)
-	w.to = to
+	w.to, w.vary = to, 0
 	w.Observe(true)
 	w.Observe(true) // already watching: no second call
 	answers <- `{"rev":41,"all":false,"targets":[]}`
@@ -210,8 +213,8 @@
 	for range 5 {
 		got = append(got, <-calls)
 	}
-	if diff := cmp.Diff([]string{"/v1/endpoints?since=41&timeout_ms=0", "/v1/endpoints?since=41&timeout_ms=5000",
-		"/v1/endpoints?since=43&timeout_ms=5000", "/v1/endpoints?since=43&timeout_ms=0", "/v1/endpoints"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"/v1/endpoints?since=41&timeout_ms=0", "/v1/endpoints?since=41&timeout_ms=4000",
+		"/v1/endpoints?since=43&timeout_ms=4000", "/v1/endpoints?since=43&timeout_ms=0", "/v1/endpoints"}, got); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -232,7 +235,7 @@
 	lists <- `{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"in_service"}]}`
 	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.RequestURI
-		if strings.Contains(r.RequestURI, "timeout_ms=5000") {
+		if strings.Contains(r.RequestURI, "timeout_ms=4000") {
 			<-r.Context().Done()
 			return
 		}
@@ -242,7 +245,7 @@
 	defer next.CloseClientConnections()
 	to := make(heard, 10)
 	w := newWatch(old.Listener.Addr().String(), 41)
-	w.to, w.slack = to, time.Minute // longer than this test takes
+	w.to, w.vary, w.slack = to, 0, time.Minute // longer than this test takes
 	w.Observe(true)
 	if got := <-held; got != "/v1/endpoints?since=41&timeout_ms=0" {
 		t.Error(got)
@@ -262,7 +265,7 @@
 	for range 3 {
 		got = append(got, <-calls)
 	}
-	if diff := cmp.Diff([]string{"/v1/endpoints", "/v1/endpoints", "/v1/endpoints?since=7&timeout_ms=5000"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"/v1/endpoints", "/v1/endpoints", "/v1/endpoints?since=7&timeout_ms=4000"}, got); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -349,7 +352,50 @@
 	w := newWatch(ln.Addr().String(), 1)
 	w.to, w.slack = to, 50*time.Millisecond
 	w.Observe(true)
-	to.want(t, "failed")
+	to.want(t, "silent")
+}
+
+// Guards: a watch that fell silent was noticed 7 s after its call, and what it had missed counts as told 6 s after it
+// fell silent, or 2 s after its wait was over. And one change set all nodes in step for ever after: their calls would
+// also end together where a silence strikes all.
+func TestSilentWatchIsNoticedInTime(t *testing.T) {
+	if watchWait+watchSlack > 5*time.Second || watchSlack > time.Second {
+		t.Errorf("a silence is noticed after up to %v, %v after the wait: too late to call anew", watchWait+watchSlack, watchSlack)
+	}
+	waits := make(chan int, 40)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+		select {
+		case waits <- ms:
+			fmt.Fprint(w, `{"rev":41,"all":false,"targets":[]}`)
+		default: // from now on it says nothing
+			<-r.Context().Done()
+		}
+	}))
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	to := make(heard, 50)
+	w := newWatch(srv.Listener.Addr().String(), 41)
+	w.to, w.pause, w.over, w.slack = to, time.Millisecond, time.Millisecond, time.Minute
+	w.wait, w.vary = 200*time.Millisecond, 100*time.Millisecond
+	w.Observe(true)
+	for range cap(waits) {
+		to.want(t, "list 41 false")
+	}
+	to.want(t, "silent") // by the slack of a call that waits
+	if first := <-waits; first != 0 {
+		t.Errorf("the first call waits %d ms", first)
+	}
+	seen := map[int]bool{}
+	for range cap(waits) - 1 {
+		ms := <-waits
+		if seen[ms] = true; ms < 100 || ms > 200 {
+			t.Errorf("a call waits %d ms", ms)
+		}
+	}
+	if len(seen) < 10 {
+		t.Errorf("%d calls wait %d different times", cap(waits)-1, len(seen))
+	}
 }
 
 // lines hands on what is logged, as far as there is room.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,12 +13,16 @@
 	"tulipglade/internal/protocol"
 )
 
-// How the watch asks. A call that may wait is given up when it has not ended some slack after that wait: a
-// discovery that is cut off says nothing, and its connections look alive.
+// How the watch asks. A call that may wait is given up when it has not ended some slack after that wait: a discovery
+// that is cut off, or has lost the call, says nothing, and its connections look alive. What such a call misses counts as
+// told 6 s after it fell silent, or 2 s after its wait where that is later; by then a new call must have been answered.
+// So at most 5 s go by until the silence is noticed. A change answers all nodes' calls in one moment: each draws how long
+// its next one waits, or a silence that strikes all would also have all call anew together.
 const (
-	watchWait  = 5 * time.Second
-	callSlack  = 2 * time.Second
-	callPause  = 100 * time.Millisecond // least time from one call to the next; a watch lapses after 200 ms
+	watchWait  = 4 * time.Second         // at most, and half of it at least
+	watchSlack = time.Second             // of a call that waited: its end costs discovery no turn
+	callSlack  = 2500 * time.Millisecond // of others, which it answers in turn: what has waited 2 s it mostly refuses itself
+	callPause  = 100 * time.Millisecond  // least time from one call to the next; a watch lapses after 200 ms
 	dialWithin = time.Second
 	maxList    = 4 << 20 // bytes of an answer
 )
@@ -25,9 +30,12 @@
 // listener is who hears of the list of backends.
 type listener interface {
 	Members(l protocol.List, cached bool)
-	MembersFailed(err error)
+	MembersFailed(err error, silent bool)
 }
 
+// errSilent is a call that nothing came of. One that discovery has no room for is refused, with 503 or a reset.
+var errSilent = errors.New("no answer in time")
+
 // errMoved ends a call to a discovery that the node has just left.
 var errMoved = errors.New("discovery has moved")
 
@@ -36,6 +44,8 @@
 type watch struct {
 	to          listener
 	wait, slack time.Duration
+	over        time.Duration // slack of a call that waits
+	vary        time.Duration // a call waits up to so much less than wait
 	pause       time.Duration
 	lost        func(error) // where lists are pushed: a watch never ends, and the first of failures in a row comes here
 
@@ -52,7 +62,7 @@
 
 func newWatch(addr string, rev int64) *watch {
 	return &watch{addr: addr, rev: rev, moved: make(chan struct{}),
-		wait: watchWait, slack: callSlack, pause: callPause}
+		wait: watchWait, slack: callSlack, over: watchSlack, vary: watchWait / 2, pause: callPause}
 }
 
 // pushed makes it the watch of an agent, which answers at no cost with what it has been sent, from now to the end of the process.
@@ -62,6 +72,7 @@
 	quarter := time.Duration(grace) * time.Microsecond / 4
 	w.wait = min(max(quarter, w.pause), w.wait)
 	w.slack = min(max(quarter, w.pause), w.slack)
+	w.over, w.vary = w.slack, 0 // the agent is on this machine, and nobody else's
 	w.lost = lost
 	w.Observe(true)
 }
@@ -139,11 +150,14 @@
 		w.began = time.Now().Add(max(pause, 0))
 		w.mu.Unlock()
 		time.Sleep(pause)
-		request := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds())
+		request, slack := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds()), w.over
 		if whole {
 			request, wait = protocol.AppendListRequest(nil, c.addr), 0
 		}
-		l, err := c.do(request, wait+w.slack)
+		if wait == 0 {
+			slack = w.slack
+		}
+		l, err := c.do(request, wait+slack)
 		if errors.Is(err, errMoved) {
 			continue
 		}
@@ -171,7 +185,7 @@
 		if err != nil {
 			return
 		}
-		wait = w.wait
+		wait = w.wait - rand.N(w.vary+1)
 	}
 }
 
@@ -182,7 +196,7 @@
 // tell passes on what a call to discovery at addr has brought.
 func (w *watch) tell(addr string, l protocol.List, err error) {
 	if err != nil {
-		w.to.MembersFailed(err)
+		w.to.MembersFailed(err, errors.Is(err, errSilent))
 		return
 	}
 	w.mu.Lock()
@@ -303,7 +317,7 @@
 		case <-c.moved:
 			return nil, false, errMoved
 		case <-end:
-			return nil, false, errors.New("no answer in time")
+			return nil, false, errSilent
 		case <-c.gone:
 			return nil, false, errors.New("connection ended within an answer")
 		case p := <-c.in:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -320,10 +320,14 @@
 	})
 }
 
-// MembersFailed tells that a call to discovery has failed.
-func (n *Node) MembersFailed(err error) {
+// MembersFailed tells that a call to discovery has failed, silent that nothing at all came of it.
+func (n *Node) MembersFailed(err error, silent bool) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		n.bal.Members(n.now(), tulipglade.ListFailed, nil)
+		kind := tulipglade.ListFailed
+		if silent {
+			kind = tulipglade.ListSilent
+		}
+		n.bal.Members(n.now(), kind, nil)
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -402,6 +402,96 @@
 	}
 }
 
+// Nothing of a request goes out behind its answer. Guards: the module gave up on a request whose attempt waited for a
+// connection that came up late; the answer went out, and 60 ms later the request did (join+mass).
+func TestAnsweredRequestIsNotSentOn(t *testing.T) {
+	a, arrived, release := newHeldApp(t)
+	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
+	first, second := dial(t, addr), dial(t, addr)
+	_, _ = io.WriteString(first, text("once", 9000))
+	<-arrived
+	n.post(func() { n.hosts[1].addr, n.hosts[1].dials = "127.0.0.1:1", 1 }) // a dial on its way that never ends
+	_, _ = io.WriteString(second, text("once", 9000))
+	until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+	on(n, func() { n.Fail(n.hosts[1].waiting[0].req.id) })
+	if code, _, _ := second.answer(); code != 504 {
+		t.Error(code)
+	}
+	go func() { // should one come all the same
+		select {
+		case <-arrived:
+		case <-t.Context().Done():
+		}
+	}()
+	close(release) // a connection is free
+	if code, _, _ := first.answer(); code != 200 {
+		t.Error(code)
+	}
+	until(n, func() bool { return len(n.hosts[1].waiting) == 0 && len(n.hosts[1].idle) == 1 })
+	on(n, func() {
+		if len(n.requests) > 0 {
+			t.Errorf("%d requests kept", len(n.requests))
+		}
+	})
+	if a.seen.Load() != 1 {
+		t.Errorf("%d requests sent on", a.seen.Load())
+	}
+}
+
+// The same where a part of it has gone: the rest stays here, so that its host never begins it.
+func TestRestOfAnAnsweredRequestIsNotSentOn(t *testing.T) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, nil)
+	caller := dial(t, addr)
+	_, _ = io.WriteString(caller, text("once", 9000))
+	host, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	in := bufio.NewReader(host)
+	if _, err := http.ReadRequest(in); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = in.Discard(2)
+	_, _ = io.WriteString(host, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	if code, _, _ := caller.answer(); code != 200 {
+		t.Fatal(code)
+	}
+	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
+	on(n, func() {
+		fd := n.hosts[1].idle[0].conn.(interface{ Fd() int }).Fd()
+		_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, 2048)
+	})
+	const size = 60_000
+	go func() {
+		_, _ = io.WriteString(caller, strings.Replace(text("once", 9000), "Content-Length: 2\r\n\r\nhi",
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)), 1))
+	}()
+	if _, err := in.Peek(1); err != nil { // it is on its way
+		t.Fatal(err)
+	}
+	on(n, func() {
+		for id := range n.requests {
+			n.Fail(id)
+		}
+	})
+	if code, _, _ := caller.answer(); code != 504 {
+		t.Error(code)
+	}
+	if got, _ := io.Copy(io.Discard, in); got >= size {
+		t.Errorf("%d bytes came, all of the request", got)
+	}
+	until(n, func() bool { return len(n.requests) == 0 && n.descriptors == 1 })
+}
+
 // Rule 3: from the moment the node is told, a draining or gone host gets nothing new.
 func TestDrainingHostGetsNothing(t *testing.T) {
 	a, b := newApp(t, serve), newApp(t, serve)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -285,7 +285,7 @@
 	case len(h.waiting) > 0:
 		a := h.waiting[0]
 		h.waiting = h.waiting[1:]
-		if a.probe && h.state != protocol.InService { // since it was asked for
+		if a.probe && h.state != protocol.InService || !a.probe && a.req.done { // since it was asked for
 			n.settle(a, tulipglade.Moot, nil)
 			n.reuse(b)
 			return
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -150,10 +150,23 @@
 	}
 	r.done = true
 	n.open--
+	n.withhold(r)
 	n.forget(r)
 	return true
 }
 
+// withhold keeps what is still being written of a request from going out behind its answer. An attempt that has no
+// connection yet stays in the books, so that its host is held to account, and reuse drops it; of a larger request than a
+// connection takes at once, the rest would go out whenever its host reads on.
+func (n *Node) withhold(r *request) {
+	for _, a := range r.attempts {
+		if b := a.backend; !a.over && b != nil && b.att == a && !b.written && b.down == nil && a.till != never {
+			n.closeBackend(b)
+			n.settle(a, tulipglade.Cancelled, nil)
+		}
+	}
+}
+
 // forget drops a request of which nothing more can come.
 func (n *Node) forget(r *request) {
 	if r.done && r.out == 0 && r.buf != nil {
