Raise what bounded lists of nodes below 1,024 in notes, digests and connections

All constant bounds of internal/, cmd/ and the module were read through. Under 1,024 in effect were two: lease.NoteMost (32 KB): the note of a rolling change names the nodes that are done, and was full after 250 names of 128 bytes, or 900 of 35; now 160 KB, with a roll of 1,024 nodes in a test (134,388 bytes at most). agent.digestsMost (1 MB): what one agent passes on was refused whole from 600 nodes of 64 zones and 20 classes on (1,024 of these are 1,738,593 bytes); now 4 KB for each of the 4,096 nodes that a Collector keeps. An agent's connections: 4,096, not 1,024.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,8 +45,8 @@
 	idlePost    = time.Minute
 	bodyMost    = 4 * lease.NoteMost // of a request: quotes in a note take more than they are
 	messageMost = 32 << 20
-	connsMost   = 1024
-	batch       = 256 // requests between two writes
+	connsMost   = 4096 // nodes that tell keep one each
+	batch       = 256  // requests between two writes
 )
 
 // Header names of what members say to each other.
--- a/internal/agent/director.go
+++ b/internal/agent/director.go
@@ -29,8 +29,9 @@
 	// each is how often nodes tell, agents pass on, and the director plans.
 	each = 500 * time.Millisecond
 	// listens is for how long a new director only listens: so that all that tell have been heard.
-	listens     = 3 * each
-	digestsMost = 1 << 20 // bytes of those of one agent
+	listens = 3 * each
+	// digestsMost is how many bytes those of one agent may have: 4 KB for each node that a Collector keeps.
+	digestsMost = failover.NodesMost << 12
 )
 
 // director is an agent's part in failover.
@@ -71,7 +72,7 @@
 			return
 		}
 		d.mu.Lock()
-		if _, known := d.told[in.Node]; known || len(d.told) < digestsMost/1024 {
+		if _, known := d.told[in.Node]; known || len(d.told) < failover.NodesMost {
 			d.told[in.Node] = in // what is wrong with it the director finds
 		}
 		d.mu.Unlock()
--- a/internal/failover/sums.go
+++ b/internal/failover/sums.go
@@ -18,7 +18,8 @@
 
 // Bounds of what a Collector keeps and believes.
 const (
-	nodesMost = 4096
+	// NodesMost is how many nodes a Collector keeps.
+	NodesMost = 4096
 	// timesMost is how many times the median node of its zone a node counts for at most. A front that is uneven gives one node twice the
 	// mean; what is beyond that is more likely wrong than true, and is felt at that node only.
 	timesMost = 4
@@ -58,7 +59,7 @@
 		return false
 	case known && (d.Life < was.Life || d.Life == was.Life && d.Seq <= was.Seq):
 		return false
-	case !known && len(c.nodes) >= nodesMost:
+	case !known && len(c.nodes) >= NodesMost:
 		return false
 	}
 	d.Demand, d.Can = slices.Clone(d.Demand), slices.Clone(d.Can)
--- a/internal/failover/sums_test.go
+++ b/internal/failover/sums_test.go
@@ -63,12 +63,12 @@
 			t.Error(name)
 		}
 	}
-	for i := range 2 * nodesMost {
+	for i := range 2 * NodesMost {
 		d := good
 		d.Node = fmt.Sprint(i)
 		c.Take(d, 0)
 	}
-	if len(c.nodes) > nodesMost {
+	if len(c.nodes) > NodesMost {
 		t.Errorf("%d nodes", len(c.nodes))
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -53,8 +53,9 @@
 	ErrFull    = errors.New("too many leases")
 )
 
-// NoteMost is how many bytes a note may have.
-const NoteMost = 32 << 10
+// NoteMost is how many bytes a note may have: that of a rolling change names up to 1,024 nodes, each by up to nameMost
+// bytes. All notes together stay well within what one member sends another as a snapshot.
+const NoteMost = 160 << 10
 
 // Bounds of what a State holds.
 const (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1083,3 +1083,49 @@
 		t.Error("what was posted never ran")
 	}
 }
+
+// 1,024 hosts are listed, used, replaced all at once and retuned, by a node that has descriptors for half as many.
+func TestManyHosts(t *testing.T) {
+	const many = 1024
+	a := newApp(t, serve)
+	list := func(of string, state protocol.State) (l []protocol.Target) {
+		for i := range many {
+			one := target(fmt.Sprint(of, i), a)
+			one.State = state
+			l = append(l, one)
+		}
+		return l
+	}
+	n, addr := start(t, list("old", protocol.InService), func(s *Settings) { s.Sockets, s.Module.Peers, s.Module.Self = 512, many, many-1 })
+	conn := dial(t, addr)
+	ask := func() {
+		t.Helper()
+		for range 100 {
+			if code, _, _ := conn.ask(text("read", 9000)); code != 200 {
+				t.Fatal(code)
+			}
+		}
+	}
+	ask()
+	n.Members(protocol.List{Rev: 2, Targets: append(list("new", protocol.InService), list("old", protocol.Terminating)...)}, false)
+	n.Members(protocol.List{Rev: 3, Targets: list("old", protocol.Terminated)}, false)
+	ask()
+	on(n, func() {
+		left := 0
+		for _, h := range n.hosts {
+			if h.goneAt == 0 {
+				left++
+			}
+			if h.goneAt > 0 && len(h.idle)+len(h.waiting)+h.dials > 0 {
+				t.Errorf("host %d is gone and has connections", h.id)
+			}
+		}
+		if left != many {
+			t.Errorf("%d hosts listed", left)
+		}
+	})
+	again := *n.set
+	again.Module.MaxAttempts = 2
+	n.Retune(again)
+	ask()
+}
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"tulipglade/internal/lease"
 )
 
 // Whoever is at it dies at any point, and another goes on from the last note: never two sites, never more than so many of one, each
@@ -126,3 +128,26 @@
 		t.Error("two of one name")
 	}
 }
+
+// A roll over 1,024 nodes, with names as long as may be, can be written down at every step. Guards: notes had 32 KB, which is full
+// after 250 such names or 900 of 35 bytes, and the roll ended there.
+func TestManyNodesCanBeWrittenDown(t *testing.T) {
+	var nodes []Node
+	for i := range 1024 {
+		nodes = append(nodes, Node{Name: fmt.Sprintf("n%0127d", i), Site: fmt.Sprint("s", i%3)})
+	}
+	r, err := New(nodes, 64, "v2", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	largest := 0
+	for !r.Over() {
+		for _, task := range r.Next() {
+			largest = max(largest, len(r.Note()))
+			r.Done(task.Name)
+		}
+	}
+	if len(r.Finished()) != len(nodes) || largest > lease.NoteMost {
+		t.Errorf("%d nodes done, notes of %d bytes where %d fit", len(r.Finished()), largest, lease.NoteMost)
+	}
+}
