Let connections rest without exception at hosts that answer twice

Need: a spoilt answer's bytes must never reach another request.

Tried first: every connection rests 10 ms after each answer. Now only at hosts whose input held more than one answer within the last 30 s, at once or late; the first costs its connection. A request that waits for such a connection gets it, or a new one should it break. Test: TestSecondAnswerReachesNobody.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -492,6 +492,65 @@
 	until(n, func() bool { return len(n.requests) == 0 && n.descriptors == 1 })
 }
 
+// Guards: a request that followed within milliseconds was given the second answer of a host that answers twice: a connection
+// rested only while another would do.
+func TestSecondAnswerReachesNobody(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // no longer than the clients wait
+	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, nil)
+	conn := dial(t, addr)
+	says := func(host net.Conn, body string) {
+		_, _ = fmt.Fprintf(host, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	serve := func() net.Conn {
+		host, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(host)); err != nil {
+			t.Fatal(err)
+		}
+		return host
+	}
+	_, _ = io.WriteString(conn, text("read", 9000))
+	first := serve()
+	defer first.Close()
+	says(first, "one")
+	if code, body, _ := conn.answer(); code != 200 || body != "one" {
+		t.Fatal(code, body)
+	}
+	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
+	on(n, func() {
+		n.hosts[1].twiceTill = never // it has done so before
+		n.hosts[1].idle[0].servedAt += 3_600_000_000
+	}) // it rests for as long as this test takes
+	_, _ = io.WriteString(conn, text("once", 9000))
+	until(n, func() bool { return len(n.requests) == 1 })
+	says(first, "one again")
+	second := serve()
+	defer second.Close()
+	says(second, "two")
+	if code, body, _ := conn.answer(); code != 200 || body != "two" {
+		t.Error(code, body)
+	}
+	on(n, func() { n.hosts[1].twiceTill = 0 })
+	says(second, "two again")
+	until(n, func() bool { return n.hosts[1].twiceTill > n.now() }) // it is known from now on
+	on(n, func() { n.hosts[1].twiceTill = 0 })
+	_, _ = io.WriteString(conn, text("read", 9000))
+	third := serve()
+	defer third.Close()
+	_, _ = io.WriteString(third, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthreeHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if code, body, _ := conn.answer(); code != 200 || body != "three" {
+		t.Error(code, body)
+	}
+	until(n, func() bool { return n.hosts[1].twiceTill > n.now() }) // both at once tell the same
+}
+
 // Rule 3: from the moment the node is told, a draining or gone host gets nothing new.
 func TestDrainingHostGetsNothing(t *testing.T) {
 	a, b := newApp(t, serve), newApp(t, serve)
@@ -673,15 +732,26 @@
 		if !b.clean() {
 			t.Error("an open connection is not clean")
 		}
-		_ = peer.Close()
-		if b.clean() {
-			t.Error("a closed connection is clean")
-		}
 		now := n.now()
 		long, short, fresh := &backend{idleSince: now - 3*restFor}, &backend{idleSince: now - 2*restFor}, &backend{idleSince: now + restFor}
-		if n.rested(&host{idle: []*backend{long, short, fresh}}) != short || n.rested(&host{idle: []*backend{fresh, fresh}}) != fresh {
+		h := &host{}
+		for _, one := range []*backend{long, short, fresh} {
+			since := one.idleSince
+			one.conn, one.n, one.host, one.servedAt = b.conn, n, h, one.idleSince
+			h.twiceTill = never
+			n.setIdle(one, true)
+			one.idleSince = since
+		}
+		if n.rested(h) != short || n.rested(h) != long || n.rested(h) != nil {
 			t.Error("the wrong connection is used")
 		}
+		if fresh.servedAt, fresh.idleSince = 0, now; n.rested(h) != fresh {
+			t.Error("a new connection rests")
+		}
+		_ = peer.Close()
+		if b.clean() {
+			t.Error("a closed connection is clean")
+		}
 	})
 }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -18,19 +18,20 @@
 
 // host is one backend that discovery has named. Its id is never used again.
 type host struct {
-	id      tulipglade.HostID
-	addr    string
-	state   protocol.State
-	boot    int64
-	zone    string // as discovery tells it, with the next two
-	cell    int
-	weight  float64
-	goneAt  int64 // when discovery said so, or left it off a whole list; 0: it is listed
-	life    int   // counts its processes: a connection to an earlier one is never used again
-	idle    []*backend
-	waiting []*attempt // for a connection
-	dials   int        // connections on their way
-	probes  int        // out, and not settled
+	id        tulipglade.HostID
+	addr      string
+	state     protocol.State
+	boot      int64
+	zone      string // as discovery tells it, with the next two
+	cell      int
+	weight    float64
+	goneAt    int64 // when discovery said so, or left it off a whole list; 0: it is listed
+	twiceTill int64 // until when it is held to answer requests twice
+	life      int   // counts its processes: a connection to an earlier one is never used again
+	idle      []*backend
+	waiting   []*attempt // for a connection
+	dials     int        // connections on their way
+	probes    int        // out, and not settled
 }
 
 // backend is a connection to a host. It carries one request at a time.
@@ -52,6 +53,7 @@
 	idle      *list.Element
 	idleSince int64
 	idleFor   int64 // before the attempt it carries; 0: it is new
+	servedAt  int64 // when it last brought the answer to a request: another may follow that; 0: never
 }
 
 // merge takes a list into the pool and turns it into the module's form. A list that is older than the last one, as
@@ -130,7 +132,9 @@
 }
 
 // restFor is how long a connection rests after an answer while others will do, in microseconds. A host that closes a
-// connection says so behind its last answer: a request that crosses this ends as one that may have run.
+// connection says so behind its last answer: a request that crosses this ends as one that may have run. Of a host that has
+// lately answered a request twice, connections rest whether others will do or not: its second answers come some
+// milliseconds late, and the next request would be given one for its own. To let all rest so costs far more than it saves.
 const restFor = 10_000
 
 // Hosts, or what is between, may drop idle connections sooner than told, and without a word: the next request is
@@ -176,31 +180,48 @@
 	return limit
 }
 
-// rested is the idle connection to a host that was used last, but for those that may be about to close: of these, it
-// is the one that has waited longest.
+// rested takes the idle connection to a host that was used last, but for those that may be about to close, of which it
+// is the one that has waited longest, those that rest, and those that are no longer good: these close. It is nil where
+// there is none.
 func (n *Node) rested(h *host) *backend {
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		if b := h.idle[i]; n.now()-b.idleSince >= restFor {
-			return b
+	now := n.now()
+	var good, fresh *backend
+	for i := len(h.idle) - 1; i >= 0 && good == nil; i-- {
+		b := h.idle[i]
+		switch {
+		case h.rests(b, now):
+		case now-b.idleSince >= n.idleLimit() || !b.clean():
+			n.closeBackend(b) // idle for too long, closed, or with input that no request asked for
+		case now-b.idleSince < restFor:
+			fresh = b
+		default:
+			good = b
 		}
 	}
-	return h.idle[0]
+	if good == nil {
+		good = fresh
+	}
+	if good != nil {
+		good.idleFor = now - good.idleSince
+		n.setIdle(good, false)
+	}
+	return good
 }
 
-// connect gives an attempt a connection: an idle one, or a new one.
+// rests tells that the next request on a connection might be given a second answer to the last.
+func (h *host) rests(b *backend, now int64) bool {
+	return now < h.twiceTill && now-b.servedAt < restFor
+}
+
+// connect gives an attempt a connection: an idle one, one that will have rested soon, or a new one.
 func (n *Node) connect(a *attempt) {
 	h := a.host
-	for len(h.idle) > 0 {
-		b := n.rested(h)
-		if idle := n.now() - b.idleSince; idle < n.idleLimit() && b.clean() {
-			b.idleFor = idle
-			n.setIdle(b, false)
-			n.send(b, a)
-			return
-		}
-		n.closeBackend(b) // idle for too long, closed, or with input that no request asked for
+	if b := n.rested(h); b != nil {
+		n.send(b, a)
+		return
 	}
-	if !a.probe && !n.makeRoom(1) {
+	resting := len(h.idle)+h.dials > len(h.waiting) && len(h.idle) > 0
+	if !resting && !a.probe && !n.makeRoom(1) {
 		n.warn("no descriptor for a connection", "descriptors", n.descriptors)
 		n.settle(a, tulipglade.ConnectFailed, nil)
 		return
@@ -210,7 +231,12 @@
 		at--
 	}
 	h.waiting = slices.Insert(h.waiting, at, a)
-	n.dial(h)
+	if resting {
+		b := h.idle[min(at, len(h.idle)-1)] // those before it may take the others
+		n.at(b.servedAt+restFor, func() { n.handOver(h) })
+	} else {
+		n.dial(h)
+	}
 	n.at(n.now()+n.set.ConnectTimeout, func() {
 		if !a.over && a.backend == nil {
 			n.giveUp(a, tulipglade.ConnectFailed)
@@ -259,7 +285,7 @@
 		if b.conn != nil {
 			_ = b.conn.Close()
 		}
-		if len(h.waiting) > h.dials { // one of them waits in vain
+		if len(h.waiting) > h.dials+len(h.idle) { // one of them waits in vain
 			n.log.Debug("connect failed", "host", h.addr, "err", err)
 			w := h.waiting[0]
 			if last := h.waiting[len(h.waiting)-1]; last.probe {
@@ -279,20 +305,42 @@
 	case b.closed:
 	case b.life != h.life || !b.clean() || h.state == protocol.Terminating && len(h.waiting) == 0:
 		n.closeBackend(b)
-		if len(h.waiting) > h.dials {
-			n.dial(h)
+		n.supply(h)
+	default:
+		n.setIdle(b, true)
+		switch {
+		case len(h.waiting) == 0:
+		case h.rests(b, n.now()):
+			n.at(b.servedAt+restFor, func() { n.handOver(h) })
+		default:
+			n.handOver(h)
 		}
-	case len(h.waiting) > 0:
-		a := h.waiting[0]
-		h.waiting = h.waiting[1:]
-		if a.probe && h.state != protocol.InService || !a.probe && a.req.done { // since it was asked for
+	}
+}
+
+// handOver gives the connections that have rested to those who wait, the longest first.
+func (n *Node) handOver(h *host) {
+	for len(h.waiting) > 0 {
+		if a := h.waiting[0]; a.probe && h.state != protocol.InService || !a.probe && a.req.done { // since it was asked for
+			h.waiting = h.waiting[1:]
 			n.settle(a, tulipglade.Moot, nil)
-			n.reuse(b)
+		} else if b := n.rested(h); b != nil {
+			h.waiting = h.waiting[1:]
+			n.send(b, a)
+		} else {
+			n.supply(h)
 			return
 		}
-		n.send(b, a)
-	default:
-		n.setIdle(b, true)
+	}
+	if h.state != protocol.InService {
+		n.closeIdleBackends(h)
+	}
+}
+
+// supply opens connections until there is one for each who waits: on its way, or resting.
+func (n *Node) supply(h *host) {
+	for len(h.waiting) > h.dials+len(h.idle) && n.makeRoom(1) {
+		n.dial(h)
 	}
 }
 
@@ -406,7 +454,9 @@
 		return
 	}
 	if b.att == nil { // nothing was asked
+		b.host.twiceTill = b.n.now() + idleTrust
 		b.n.closeBackend(b)
+		b.n.supply(b.host)
 		return
 	}
 	if b.in == nil {
@@ -477,6 +527,12 @@
 	n, a, in, msg := b.n, b.att, b.in, b.msg
 	n.learnIdle(b.idleFor, false)
 	b.idleFor = 0
+	if !a.probe {
+		b.servedAt = n.now()
+	}
+	if unread || len(msg.Rest(in.bytes())) > 0 {
+		b.host.twiceTill = n.now() + idleTrust
+	}
 	keep := msg.KeepAlive && !b.hungUp && !unread && len(msg.Rest(in.bytes())) == 0
 	b.att, b.in = nil, nil
 	switch {
@@ -513,6 +569,7 @@
 		n.downloadBegins(b, nil, nil, nil)
 	case a == nil:
 		n.closeBackend(b)
+		n.supply(b.host)
 	case !b.written && a.till == never && !b.allIn(): // the request was still coming in, and will never be whole
 		n.closeBackend(b)
 		n.settle(a, tulipglade.ConnectFailed, nil)
