Have whoever waits for a connection that rests be looked after until it has one

Seen on reading the change again: an attempt that waits for a resting connection had one timer, for one connection. Should another attempt take that one in the round in which it has rested, handOver (pool.go) found the next still resting, supply held that for enough, and nobody looked again: the attempt ended as ConnectFailed after connect_timeout_us. Now handOver sets the timer for the next that will have rested (lookAgain), which also serves connect and reuse. Tests: both that, and that a new connection is opened where a resting one breaks, which no test held before (10 s without it).

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -508,7 +508,9 @@
 	}
 	defer ln.Close()
 	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // no longer than the clients wait
-	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, nil)
+	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, func(s *Settings) {
+		s.ConnectTimeout *= 60 // to give up and try anew is no way round
+	})
 	conn := dial(t, addr)
 	says := func(host net.Conn, body string) {
 		_, _ = fmt.Fprintf(host, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
@@ -752,6 +754,12 @@
 		if n.rested(h) != short || n.rested(h) != long || n.rested(h) != nil {
 			t.Error("the wrong connection is used")
 		}
+		h.waiting = []*attempt{{req: &request{}}}
+		timers := len(n.timers)
+		if n.handOver(h); len(n.timers) != timers+1 || len(h.waiting) != 1 {
+			t.Error("nobody looks again once the connection that one waits for has rested")
+		}
+		h.waiting = nil
 		if fresh.servedAt, fresh.idleSince = 0, now; n.rested(h) != fresh {
 			t.Error("a new connection rests")
 		}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -232,8 +232,7 @@
 	}
 	h.waiting = slices.Insert(h.waiting, at, a)
 	if resting {
-		b := h.idle[min(at, len(h.idle)-1)] // those before it may take the others
-		n.at(b.servedAt+restFor, func() { n.handOver(h) })
+		n.lookAgain(h)
 	} else {
 		n.dial(h)
 	}
@@ -308,11 +307,7 @@
 		n.supply(h)
 	default:
 		n.setIdle(b, true)
-		switch {
-		case len(h.waiting) == 0:
-		case h.rests(b, n.now()):
-			n.at(b.servedAt+restFor, func() { n.handOver(h) })
-		default:
+		if len(h.waiting) > 0 {
 			n.handOver(h)
 		}
 	}
@@ -329,6 +324,7 @@
 			n.send(b, a)
 		} else {
 			n.supply(h)
+			n.lookAgain(h)
 			return
 		}
 	}
@@ -337,6 +333,17 @@
 	}
 }
 
+// lookAgain has the next connection that will have rested handed over then. All idle ones rest, or somebody would have them.
+func (n *Node) lookAgain(h *host) {
+	next := int64(never)
+	for _, b := range h.idle {
+		next = min(next, b.servedAt+restFor)
+	}
+	if next < never {
+		n.at(next, func() { n.handOver(h) })
+	}
+}
+
 // supply opens connections until there is one for each who waits: on its way, or resting.
 func (n *Node) supply(h *host) {
 	for len(h.waiting) > h.dials+len(h.idle) && n.makeRoom(1) {
@@ -530,10 +537,11 @@
 	if !a.probe {
 		b.servedAt = n.now()
 	}
-	if unread || len(msg.Rest(in.bytes())) > 0 {
+	twice := unread || len(msg.Rest(in.bytes())) > 0
+	if twice {
 		b.host.twiceTill = n.now() + idleTrust
 	}
-	keep := msg.KeepAlive && !b.hungUp && !unread && len(msg.Rest(in.bytes())) == 0
+	keep := msg.KeepAlive && !b.hungUp && !twice
 	b.att, b.in = nil, nil
 	switch {
 	case !keep:
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -156,7 +156,7 @@
 }
 
 // withhold keeps what is still being written of a request from going out behind its answer. An attempt that has no
-// connection yet stays in the books, so that its host is held to account, and reuse drops it; of a larger request than a
+// connection yet stays in the books, so that its host is held to account, and handOver drops it; of a larger request than a
 // connection takes at once, the rest would go out whenever its host reads on.
 func (n *Node) withhold(r *request) {
 	for _, a := range r.attempts {
