--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -174,6 +174,57 @@
 	}
 }
 
+// byHand is a backend whose every byte a test writes itself.
+type byHand struct {
+	t *testing.T
+	net.Listener
+}
+
+// newByHand may bound what the system takes in for it, in bytes; 0 is as usual.
+func newByHand(t *testing.T, receive int) *byHand {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			if receive > 0 {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive)
+			}
+		})
+	}}
+	ln, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // no longer than callers wait
+	t.Cleanup(func() { _ = ln.Close() })
+	return &byHand{t, ln}
+}
+
+func (h *byHand) targets() []protocol.Target {
+	return []protocol.Target{{UID: "a", Endpoint: h.Addr().String(), Zone: "z", Weight: 1}}
+}
+
+// take is the next connection, from which a request has been read.
+func (h *byHand) take() (net.Conn, *bufio.Reader) {
+	h.t.Helper()
+	conn, err := h.Accept()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = conn.Close() })
+	in := bufio.NewReader(conn)
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return conn, in
+}
+
+// ok writes a whole answer.
+func ok(conn net.Conn, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // newHeldApp is an app that tells of each arrival and serves none before release is closed.
 func newHeldApp(t *testing.T) (a *app, arrived <-chan struct{}, release chan struct{}) {
 	in, release := make(chan struct{}), make(chan struct{})
@@ -447,28 +498,12 @@
 
 // The same where a part of it has gone: the rest stays here, so that its host never begins it.
 func TestRestOfAnAnsweredRequestIsNotSentOn(t *testing.T) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
-	}}
-	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, nil)
+	app := newByHand(t, 2048)
+	n, addr := start(t, app.targets(), nil)
 	caller := dial(t, addr)
 	_, _ = io.WriteString(caller, text("once", 9000))
-	host, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer host.Close()
-	in := bufio.NewReader(host)
-	if _, err := http.ReadRequest(in); err != nil {
-		t.Fatal(err)
-	}
-	_, _ = in.Discard(2)
-	_, _ = io.WriteString(host, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	host, in := app.take()
+	ok(host, "ok")
 	if code, _, _ := caller.answer(); code != 200 {
 		t.Fatal(code)
 	}
@@ -502,57 +537,36 @@
 // Guards: a request that followed within milliseconds was given the second answer of a host that answers twice: a connection
 // rested only while another would do.
 func TestSecondAnswerReachesNobody(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // no longer than the clients wait
-	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, func(s *Settings) {
+	app := newByHand(t, 0)
+	n, addr := start(t, app.targets(), func(s *Settings) {
 		s.ConnectTimeout *= 60 // to give up and try anew is no way round
 	})
 	conn := dial(t, addr)
-	says := func(host net.Conn, body string) {
-		_, _ = fmt.Fprintf(host, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	}
-	serve := func() net.Conn {
-		host, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(host)); err != nil {
-			t.Fatal(err)
-		}
-		return host
-	}
 	_, _ = io.WriteString(conn, text("read", 9000))
-	first := serve()
-	defer first.Close()
-	says(first, "one")
+	first, _ := app.take()
+	ok(first, "one")
 	if code, body, _ := conn.answer(); code != 200 || body != "one" {
 		t.Fatal(code, body)
 	}
 	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
 	on(n, func() {
-		n.hosts[1].twiceTill = never // it has done so before
-		n.hosts[1].idle[0].servedAt += 3_600_000_000
-	}) // it rests for as long as this test takes
+		n.hosts[1].twiceTill = never                 // it has done so before
+		n.hosts[1].idle[0].servedAt += 3_600_000_000 // it rests for as long as this test takes
+	})
 	_, _ = io.WriteString(conn, text("once", 9000))
 	until(n, func() bool { return len(n.requests) == 1 })
-	says(first, "one again")
-	second := serve()
-	defer second.Close()
-	says(second, "two")
+	ok(first, "one again")
+	second, _ := app.take()
+	ok(second, "two")
 	if code, body, _ := conn.answer(); code != 200 || body != "two" {
 		t.Error(code, body)
 	}
 	on(n, func() { n.hosts[1].twiceTill = 0 })
-	says(second, "two again")
+	ok(second, "two again")
 	until(n, func() bool { return n.hosts[1].twiceTill > n.now() }) // it is known from now on
 	on(n, func() { n.hosts[1].twiceTill = 0 })
 	_, _ = io.WriteString(conn, text("read", 9000))
-	third := serve()
-	defer third.Close()
+	third, _ := app.take()
 	_, _ = io.WriteString(third, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthreeHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	if code, body, _ := conn.answer(); code != 200 || body != "three" {
 		t.Error(code, body)
@@ -717,22 +731,12 @@
 // only just answered rests while others will do. A request that crosses the close may have run, and one that must not
 // run twice would be lost.
 func TestClosingConnectionIsNotUsed(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	n, addr := start(t, []protocol.Target{{UID: "a", Endpoint: ln.Addr().String(), Zone: "z", Weight: 1}}, nil)
+	app := newByHand(t, 0)
+	n, addr := start(t, app.targets(), nil)
 	conn := dial(t, addr)
 	_, _ = io.WriteString(conn, text("read", 9000))
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := http.ReadRequest(bufio.NewReader(peer)); err != nil {
-		t.Fatal(err)
-	}
-	_, _ = io.WriteString(peer, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	peer, _ := app.take()
+	ok(peer, "")
 	conn.answer()
 	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // so the poller does not run beside this
