Tell a reset from an end in order by poll's events, not by the TCP state

Cause: socket.onClose and takeOver took TCP_INFO's state CLOSE_WAIT for the proof of an end in order (internal/node/buffer.go, leave.go).

Ruled out: SO_ERROR (0 for both: the poller's read has taken it) and a second read (0 for both).

TestStandingBy and TestResetIsNoEndOfAnAnswer fail without the HUP and ERR case.

--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -97,8 +97,7 @@
 			left(s.takeOver(conn))
 			return nil
 		}
-		state, known := state(conn)
-		s.fin = known && state == closeWait // only then is what goes on until the end of a connection whole
+		s.fin = stands(conn) == peerFinished // only then is what goes on until the end of a connection whole
 		f()
 		return nil
 	})
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -58,9 +58,9 @@
 		rest = append(rest, p...)
 	}
 	// The poller may have met a reset, of which the descriptor then says no more: it would look like an end in order.
-	state, known := state(conn)
-	s.fin = known && state == closeWait
-	if ended || known && state != established && state != closeWait {
+	stands := stands(conn)
+	s.fin = stands == peerFinished
+	if ended || stands == peerBroken {
 		return nil, rest, nil
 	}
 	fd, err := unix.FcntlInt(uintptr(c.Fd()), unix.F_DUPFD_CLOEXEC, 0)
@@ -192,21 +192,43 @@
 	return conn.Reader().Release()
 }
 
-// The kernel's states of a connection that matter here.
+// standing is how the other side of a connection stands.
+type standing uint8
+
 const (
-	established = 1
-	closeWait   = 8 // the other side has closed it in order
+	peerOpen     standing = iota
+	peerFinished          // it has closed its side in order
+	peerBroken            // it was reset, or there is no telling
 )
 
-// state is that of the connection by the kernel, where it tells.
-func state(conn netpoll.Connection) (state uint8, known bool) {
+// standingBy reads that off the events of poll(2): a reset ends both directions, and says so for as long as the descriptor lives, while
+// the end of the other side leaves ours open. The state in TCP_INFO is no proof: beneath a system call layer that is not the
+// kernel's own it has been seen to say CLOSE_WAIT for both.
+func standingBy(revents int16) standing {
+	switch {
+	case revents&(unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0:
+		return peerBroken
+	case revents&unix.POLLRDHUP != 0:
+		return peerFinished
+	}
+	return peerOpen
+}
+
+// stands asks the kernel. Whoever asks must hold the descriptor open.
+func stands(conn netpoll.Connection) standing {
 	c, ok := conn.(interface{ Fd() int })
 	if !ok {
-		return 0, false
+		return peerBroken
 	}
-	info, err := unix.GetsockoptTCPInfo(c.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return 0, false
+	fds := []unix.PollFd{{Fd: int32(c.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		if err == unix.EINTR {
+			continue
+		}
+		if err != nil {
+			return peerBroken
+		}
+		return standingBy(fds[0].Revents)
 	}
-	return info.State, true
 }
--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// A reset is told from an end in order by what poll(2) says of both directions, never by the state in TCP_INFO: the second row is
+// what a layer between the process and the kernel was seen to say of a reset whose state it gave as CLOSE_WAIT.
+func TestStandingBy(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		revents int16
+		want    standing
+	}{
+		{"open", unix.POLLOUT, peerOpen},
+		{"reset", unix.POLLIN | unix.POLLOUT | unix.POLLERR | unix.POLLHUP | unix.POLLRDHUP, peerBroken},
+		{"reset, its error read", unix.POLLIN | unix.POLLOUT | unix.POLLHUP | unix.POLLRDHUP, peerBroken},
+		{"reset, not read", unix.POLLIN | unix.POLLERR | unix.POLLRDHUP, peerBroken},
+		{"finished", unix.POLLIN | unix.POLLOUT | unix.POLLRDHUP, peerFinished},
+		{"no descriptor", unix.POLLNVAL, peerBroken},
+	} {
+		if got := standingBy(c.revents); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// What the kernel itself says, after the poller has read all there is.
+func TestStands(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn)
+		want standing
+	}{
+		"finished": {func(c *net.TCPConn) { _ = c.CloseWrite() }, peerFinished},
+		"closed":   {func(c *net.TCPConn) { _ = c.Close() }, peerFinished},
+		"reset":    {func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }, peerBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			conn, err := netpoll.DialConnection("tcp", ln.Addr().String(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := make(chan standing, 1)
+			_ = conn.AddCloseCallback(func(conn netpoll.Connection) error { found <- stands(conn); return nil })
+			_ = conn.SetOnRequest(nil)
+			other, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := stands(conn); got != peerOpen {
+				t.Errorf("before the end: %v", got)
+			}
+			c.end(other.(*net.TCPConn))
+			for conn.IsActive() { // until the poller has seen the end
+				_, _ = conn.Reader().Peek(1)
+			}
+			_ = conn.Close()
+			if got := <-found; got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+			_ = other.Close()
+		})
+	}
+}
+
+// An answer without a length is whole only if its connection ends in order: cut by a reset, it is nobody's answer.
+func TestResetIsNoEndOfAnAnswer(t *testing.T) {
+	for name, reset := range map[string]bool{"in order": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newByHand(t, 0)
+			n, addr := start(t, h.targets(), nil)
+			c := dial(t, addr)
+			_, _ = io.WriteString(c, text("once", 5000))
+			conn, _ := h.take()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+			until(n, func() bool { return heardOf(n, "half") })
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+			code, body, _ := c.answer()
+			if reset && code == 200 || !reset && (code != 200 || body != "half") {
+				t.Errorf("answered %d %q", code, body)
+			}
+		})
+	}
+}
+
+// heardOf tells whether a host's bytes have reached Run's goroutine, on which it must be called.
+func heardOf(n *Node, part string) bool {
+	for _, r := range n.requests {
+		for _, a := range r.attempts {
+			if a.backend != nil && a.backend.in != nil && bytes.Contains(a.backend.in.bytes(), []byte(part)) {
+				return true
+			}
+		}
+	}
+	return false
+}
