Count a backend's bytes on their way to the loop as unread, as a client's are

Clients had a counter for the same gap (client.handed), backends had none (pool.go, input; buffer.go, clean).

Now one counter for both, in socket.hand, and clean and unread look in the order in which input moves on: the system, the poller, the way to the loop. TestUnseenAnswerReachesNobody forces the order by holding the loop until request and stray answer are posted; without the counter it fails (the stray answer is given out, the backend never gets the request).

--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// hand takes what the connection has received and has receive get it on Run's goroutine. Until then it counts as unread: whoever
+// looks in between must not find the connection empty, so it counts before the bytes leave the reader.
+func (s *socket) hand(conn netpoll.Connection, n *Node, receive func(*buffer)) error {
+	s.handed.Add(1)
+	b, err := take(conn)
+	if err != nil {
+		s.handed.Add(-1)
+		return err
+	}
+	behind.Add(1)
+	n.post(func() {
+		s.handed.Add(-1)
+		behind.Add(-1)
+		receive(b)
+	})
+	return nil
+}
+
 // take moves what a connection has received, up to one buffer of it, into a buffer.
 func take(conn netpoll.Connection) (*buffer, error) {
 	r := conn.Reader()
@@ -70,13 +88,14 @@
 // socket is one connection of the poller's. Its lock keeps a write and the end of the connection apart: the
 // poller gives a connection's buffers to others once it has closed, also while somebody still fills them.
 type socket struct {
-	conn  netpoll.Connection
-	file  *os.File // in its place while it has left the poller
-	mu    sync.Mutex
-	ended bool
-	hup   atomic.Bool // the poller has ended it
-	fin   bool        // the other side has closed it in order
-	left  func(*os.File, []byte, error)
+	conn   netpoll.Connection
+	handed atomic.Int32 // pieces of input on their way to Run's goroutine
+	file   *os.File     // in its place while it has left the poller
+	mu     sync.Mutex
+	ended  bool
+	hup    atomic.Bool // the poller has ended it
+	fin    bool        // the other side has closed it in order
+	left   func(*os.File, []byte, error)
 }
 
 // onClose has f called when the connection has closed.
@@ -151,28 +170,31 @@
 	s.hup.Store(false)
 }
 
-// unread is how many bytes the poller has read that nobody has taken.
+// unread is how much has come in that Run's goroutine has not seen, in bytes or pieces. It looks in the order in which input moves on, so
+// that what is between the two is not missed.
 func (s *socket) unread() int {
 	if s.file != nil {
 		return 0
 	}
-	return s.conn.Reader().Len()
+	return s.conn.Reader().Len() + int(s.handed.Load())
 }
 
-// clean tells whether the connection is open and holds no input, also by what the poller has not seen yet.
+// clean tells whether the connection is open and holds no input, also by what the poller has not seen yet. Like unread it looks in the
+// order in which input moves on: the system first, then the poller, then what is on its way to Run's goroutine.
 func (s *socket) clean() bool {
 	s.mu.Lock() // its descriptor may be another connection's once it has ended
 	defer s.mu.Unlock()
-	if s.ended || !s.conn.IsActive() || s.conn.Reader().Len() > 0 {
+	if s.ended || !s.conn.IsActive() {
 		return false
 	}
-	c, ok := s.conn.(interface{ Fd() int })
-	if !ok {
-		return true
+	if c, ok := s.conn.(interface{ Fd() int }); ok {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(c.Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EAGAIN && err != syscall.EINTR {
+			return false
+		}
 	}
-	var one [1]byte
-	_, _, err := syscall.Recvfrom(c.Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN || err == syscall.EINTR
+	return s.conn.IsActive() && s.unread() == 0
 }
 
 // write writes parts to a connection beside Run's goroutine, which then calls done. A connection has one write
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"runtime"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,10 +24,9 @@
 	n         *Node
 	in        *buffer
 	msg       protocol.Message
-	handed    atomic.Int32 // pieces of input on their way to receive
-	req       *request     // taken from it and not answered
-	writing   bool         // an answer is on its way
-	last      bool         // the connection closes after this answer
+	req       *request // taken from it and not answered
+	writing   bool     // an answer is on its way
+	last      bool     // the connection closes after this answer
 	continued bool
 	lingering bool // nothing more is read from it; it only waits for its refusal to be read
 	dropped   int  // bytes that came meanwhile
@@ -109,15 +107,7 @@
 // input hands on what the poller has read.
 func (c *client) input(_ context.Context, conn netpoll.Connection) error {
 	at := c.n.now()
-	c.handed.Add(1) // before the bytes leave the reader: whoever looks in between must not find it empty
-	b, err := take(conn)
-	if err != nil {
-		c.handed.Add(-1)
-		return err
-	}
-	behind.Add(1)
-	c.n.post(func() { c.receive(b, at) })
-	return nil
+	return c.hand(conn, c.n, func(b *buffer) { c.receive(b, at) })
 }
 
 // unseenMost is how many connections may have been accepted that Run's goroutine has not seen. It is well within
@@ -199,8 +189,6 @@
 // receive takes in what the client sent.
 func (c *client) receive(b *buffer, at int64) {
 	defer b.release()
-	c.handed.Add(-1)
-	behind.Add(-1)
 	if c.lingering && !c.closed {
 		if c.dropped += b.n; c.dropped > lingerBytes && !c.writing {
 			c.close()
@@ -450,10 +438,6 @@
 	}
 }
 
-// unread is how much has come in that Run's goroutine has not seen, in bytes or pieces. A connection with such
-// input may hold a whole request: it is not idle, and to close it would lose that.
-func (c *client) unread() int { return c.socket.unread() + int(c.handed.Load()) }
-
 // idleClient is the connection in a list that has held no request for the longest time, and at least for so long,
 // or nil.
 func (n *Node) idleClient(in *list.List, least int64) *client {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -574,6 +574,41 @@
 	until(n, func() bool { return n.hosts[1].twiceTill > n.now() }) // both at once tell the same
 }
 
+// What a host has sent unasked is not taken for the answer to the next request, also while it is on its way from the poller: the request
+// is on the connection before Run's goroutine hears of those bytes.
+func TestUnseenAnswerReachesNobody(t *testing.T) {
+	app := newByHand(t, 0)
+	n, addr := start(t, app.targets(), nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, text("read", 9000))
+	first, _ := app.take()
+	ok(first, "one")
+	conn.answer()
+	until(n, func() bool { return len(n.hosts[1].idle) == 1 })
+	busy, free := make(chan struct{}), make(chan struct{})
+	n.post(func() { close(busy); <-free })
+	<-busy
+	_, _ = io.WriteString(conn, text("once", 9000))
+	behindOf(n, 1) // the request, then the bytes
+	ok(first, "one again")
+	behindOf(n, 2)
+	close(free)
+	second, _ := app.take()
+	ok(second, "two")
+	if code, body, _ := conn.answer(); code != 200 || body != "two" {
+		t.Error(code, body)
+	}
+}
+
+// behindOf waits until so many things are posted that Run's goroutine has not begun with.
+func behindOf(n *Node, posted int) {
+	for there := 0; there < posted; runtime.Gosched() {
+		n.mu.Lock()
+		there = len(n.posted)
+		n.mu.Unlock()
+	}
+}
+
 // Rule 3: from the moment the node is told, a draining or gone host gets nothing new.
 func TestDrainingHostGetsNothing(t *testing.T) {
 	a, b := newApp(t, serve), newApp(t, serve)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -265,12 +265,7 @@
 
 // input hands on what the poller has read.
 func (b *backend) input(_ context.Context, conn netpoll.Connection) error {
-	buf, err := take(conn)
-	if err == nil {
-		behind.Add(1)
-		b.n.post(func() { b.receive(buf) })
-	}
-	return err
+	return b.hand(conn, b.n, b.receive)
 }
 
 // dialled is a connection that has come up or not. It goes to whoever has waited longest.
@@ -437,7 +432,6 @@
 	kept, hungUp := b.kept, b.hungUp
 	b.kept, b.hungUp = nil, false
 	for _, buf := range kept {
-		behind.Add(1)
 		b.receive(buf)
 	}
 	if hungUp {
@@ -448,7 +442,6 @@
 // receive takes in what the host sent.
 func (b *backend) receive(buf *buffer) {
 	defer buf.release()
-	behind.Add(-1)
 	if b.closed {
 		return
 	}
