Call discovery again within 3 s of a failure, 0.6 s of a silence, whatever failed before

A node whose calls failed while discovery was down for 8 s could call again a minute after its return; a change counts as told 6 s after discovery had it and could be reached.

Now the pause is bounded by that rule, from the protocol: half of the 6 s after a failure, a tenth after a silence, as a call that is not answered takes up to 3.2 s by itself. A connection that never comes up is a silence too (it counted as a refusal), and a call that stood in line for 1 s or more before it was refused or reset is told as ListBusy: discovery can be reached and has too many callers; only those are spread as before, undoubled. callSlack is 3.2 s (2.5): the operators' settings have a discovery that refuses after 3 s, which counted as silent.

TestNextCallComesInTimeToBeTold and the longer TestSilentWatchIsOpenedAnewAtOnce fail with the old pause, TestHowACallFailsIsTold without the kinds. What TestSilentWatchIsOpenedAnewAtOnce asked of a second silence, that nobody calls within 0.7 s, contradicts the rule; it now asks for exactly one call in that time, of each of twenty.

--- a/balancer.go
+++ b/balancer.go
@@ -42,7 +42,8 @@
 	badUsual    = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
 	askFirst    = 0.5       // of the longest silence may pass before the first call to discovery
 	askEach     = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
-	askAnew     = 1.0 / 16  // of it goes by at most until the call after one that was not answered
+	askLatest   = 0.5       // of ToldWithin goes by at most until the call after one that failed
+	askAnew     = 0.1       // and after one that was not answered at all
 	ejectMost   = 5         // doublings of the time out
 )
 
@@ -663,14 +664,14 @@
 		b.act.WakeAt(wakeAsk, Span(b.random()*min(b.askSpread(), askFirst*float64(b.cfg.AskEvery))))
 	}
 	switch kind {
-	case ListFailed, ListSilent:
+	case ListFailed, ListSilent, ListBusy:
 		b.watching = false
 		b.log("discovery: lost")
-		after := max(float64(b.period)/4, b.askSpread()) * math.Exp2(float64(min(b.askFails, ejectMost)))
-		if b.askFails++; kind == ListSilent && b.askFails == 1 { // what is missed soon counts as told
-			after = min(after, askAnew*float64(b.cfg.AskEvery))
-		}
-		b.askAgain(after)
+		told := float64(ToldWithin)
+		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told,
+			ListBusy: max(askLatest*told, b.askSpread())}[kind] // sooner, all would call too much, and none be answered
+		b.askAgain(min(max(float64(b.period)/4, b.askSpread())*math.Exp2(float64(b.askFails)), most))
+		b.askFails = min(b.askFails+1, ejectMost)
 		return
 	case ListDelta, ListFull:
 		b.watching, b.askFails = true, 0
@@ -689,12 +690,6 @@
 	b.release()
 }
 
-// askSpread is the time over which the gateways spread their calls to discovery. It answers in turn, and
-// works for nothing on what has waited too long: called by all at once, and soon again, it answers nobody.
-func (b *Balancer) askSpread() float64 {
-	return float64(b.cfg.AskEvery) * float64(b.cfg.Peers-1) * askEach
-}
-
 // askAgain sets the next call to discovery, at a chance moment so that gateways do not call together.
 func (b *Balancer) askAgain(after float64) {
 	b.askAt = b.now + b.cfg.Tick + Span(after*(0.25+0.75*b.random()))
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -529,13 +529,38 @@
 			if g.run(700 * ms); g.asked != before+1 {
 				t.Fatalf("%d gateways: %d calls within 0.7 s of a silence", peers, g.asked-before)
 			}
-			for range 2 { // it is out of reach, not one watch of it
+			for range 20 { // it is out of reach, and nobody knows when it is back: a call that is not answered is given up after 3.2 s
 				before = g.asked
 				g.b.Members(g.now, ListSilent, nil)
-				if g.run(700 * ms); peers > 100 && g.asked != before {
-					t.Fatalf("%d gateways: called again though it does not answer", peers)
+				if g.run(700 * ms); g.asked != before+1 {
+					t.Fatalf("%d gateways: %d calls within 0.7 s of another silence", peers, g.asked-before)
+				}
+				g.run(3200 * ms)
+			}
+		}
+	}
+}
+
+func TestNextCallComesInTimeToBeTold(t *testing.T) {
+	// Guards: the pause after a failure doubled up to 32 times what 300 gateways need to call in turn, ten minutes, so that hosts which
+	// began to drain after discovery was back got requests for as long. What it has counts as told 6 s after it can be reached.
+	for _, c := range []struct {
+		kind   ListKind
+		peers  int
+		within Span // of the failure, so that 6 s also hold the call that failed, if nothing was heard, and the answer to the next
+	}{{ListFailed, 1, 3100 * ms}, {ListFailed, 6, 3100 * ms}, {ListFailed, 30, 3100 * ms}, {ListFailed, 350, 3100 * ms},
+		{ListFailed, 1024, 3100 * ms}, {ListSilent, 350, 700 * ms}, {ListBusy, 6, 3100 * ms}, {ListBusy, 20, 3100 * ms}} {
+		cfg := settings()
+		cfg.AskDiscovery, cfg.Peers = true, c.peers
+		for seed := range uint64(10) {
+			g := startSeed(t, seed, cfg, hosts(2)...)
+			g.run(cfg.AskEvery)
+			for k := range 12 {
+				before := g.asked
+				g.b.Members(g.now, c.kind, nil)
+				if g.run(c.within); g.asked == before {
+					t.Fatalf("kind %d, %d gateways: no call within %d ms of failure %d", c.kind, c.peers, c.within/ms, k+1)
 				}
-				g.run(200000 * ms)
 			}
 		}
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -219,7 +219,7 @@
 				for len(waits[i]) > 0 && waits[i][0].at <= g.now {
 					kind := ListDelta
 					if !waits[i][0].ok {
-						kind = ListFailed
+						kind = ListBusy
 						failed++
 					} else if heard[i] == 0 {
 						heard[i] = g.now
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 	jsoniter "github.com/json-iterator/go"
 
+	"tulipglade"
 	"tulipglade/internal/protocol"
 )
 
@@ -158,8 +159,8 @@
 type heard chan string
 
 func (h heard) Members(l protocol.List, _ bool) { h <- fmt.Sprint("list ", l.Rev, l.All) }
-func (h heard) MembersFailed(_ error, silent bool) {
-	h <- map[bool]string{false: "failed", true: "silent"}[silent]
+func (h heard) MembersFailed(_ error, how tulipglade.ListKind) {
+	h <- map[tulipglade.ListKind]string{tulipglade.ListFailed: "failed", tulipglade.ListSilent: "silent", tulipglade.ListBusy: "busy"}[how]
 }
 
 func (h heard) want(t *testing.T, want string) {
@@ -398,6 +399,62 @@
 	}
 }
 
+// A call that is refused at once has met a discovery that is down; one that stood in line first has met too many callers, and its
+// next is spread with theirs; one whose connection never comes up was not answered at all.
+func TestHowACallFailsIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		turn time.Duration // a call that fails after so long has stood in line
+		fail func(http.ResponseWriter)
+	}{
+		"failed": {time.Hour, func(w http.ResponseWriter) { w.WriteHeader(503) }},
+		"busy":   {0, func(w http.ResponseWriter) { w.WriteHeader(503) }},
+	} {
+		for _, reset := range []bool{false, true} {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !reset {
+					c.fail(w)
+					return
+				}
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err == nil {
+					_ = conn.Close()
+				}
+			}))
+			to := make(heard, 1)
+			w := newWatch(srv.Listener.Addr().String(), 1)
+			w.to, w.turn = to, c.turn
+			w.Observe(true)
+			to.want(t, name)
+			srv.Close()
+		}
+	}
+	full, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts: once its queue is full, connections do not come up
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = full.Close() }()
+	raw, err := full.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for { // until one does not
+		conn, err := net.DialTimeout("tcp", full.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	to := make(heard, 1)
+	w := newWatch(full.Addr().String(), 1)
+	w.to, w.slack, w.turn = to, 50*time.Millisecond, 0
+	w.Observe(true)
+	to.want(t, "silent")
+}
+
 // lines hands on what is logged, as far as there is room.
 type lines chan string
 
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"tulipglade"
 	"tulipglade/internal/protocol"
 )
 
@@ -21,7 +22,8 @@
 const (
 	watchWait  = 4 * time.Second         // at most, and half of it at least
 	watchSlack = time.Second             // of a call that waited: its end costs discovery no turn
-	callSlack  = 2500 * time.Millisecond // of others, which it answers in turn: what has waited 2 s it mostly refuses itself
+	callSlack  = 3200 * time.Millisecond // of others, which it answers in turn: what has waited 2 or 3 s it refuses itself
+	callTurn   = time.Second             // a call that is refused after so long has waited for its turn: there are too many
 	callPause  = 100 * time.Millisecond  // least time from one call to the next; a watch lapses after 200 ms
 	dialWithin = time.Second
 	maxList    = 4 << 20 // bytes of an answer
@@ -30,12 +32,26 @@
 // listener is who hears of the list of backends.
 type listener interface {
 	Members(l protocol.List, cached bool)
-	MembersFailed(err error, silent bool)
+	MembersFailed(err error, how tulipglade.ListKind)
 }
 
 // errSilent is a call that had no whole answer in time. One that discovery has no room for is refused, with 503 or a reset.
 var errSilent = errors.New("no answer in time")
 
+// errBusy is a call that waited for its turn, and was refused or reset.
+var errBusy = errors.New("too many callers")
+
+// how tells the module what a failed call says of discovery.
+func how(err error) tulipglade.ListKind {
+	switch {
+	case errors.Is(err, errSilent):
+		return tulipglade.ListSilent
+	case errors.Is(err, errBusy):
+		return tulipglade.ListBusy
+	}
+	return tulipglade.ListFailed
+}
+
 // errMoved ends a call to a discovery that the node has just left.
 var errMoved = errors.New("discovery has moved")
 
@@ -44,6 +60,7 @@
 type watch struct {
 	to          listener
 	wait, slack time.Duration
+	turn        time.Duration // a call that does not wait and fails after so long has stood in line
 	over        time.Duration // slack of a call that waits
 	vary        time.Duration // a call waits up to so much less than wait
 	pause       time.Duration
@@ -61,7 +78,7 @@
 }
 
 func newWatch(addr string, rev int64) *watch {
-	return &watch{addr: addr, rev: rev, moved: make(chan struct{}),
+	return &watch{addr: addr, rev: rev, moved: make(chan struct{}), turn: callTurn,
 		wait: watchWait, slack: callSlack, over: watchSlack, vary: watchWait / 2, pause: callPause}
 }
 
@@ -157,10 +174,14 @@
 		if wait == 0 {
 			slack = w.slack
 		}
+		began := time.Now()
 		l, err := c.do(request, wait+slack)
 		if errors.Is(err, errMoved) {
 			continue
 		}
+		if err != nil && !errors.Is(err, errSilent) && wait == 0 && time.Since(began) >= w.turn {
+			err = fmt.Errorf("%w: %w", errBusy, err)
+		}
 		if err == nil && l.All && len(l.Targets) == 0 {
 			err = fmt.Errorf("discovery at %s: %w", c.addr, errNoBackends)
 		}
@@ -196,7 +217,7 @@
 // tell passes on what a call to discovery at addr has brought.
 func (w *watch) tell(addr string, l protocol.List, err error) {
 	if err != nil {
-		w.to.MembersFailed(err, errors.Is(err, errSilent))
+		w.to.MembersFailed(err, how(err))
 		return
 	}
 	w.mu.Lock()
@@ -270,7 +291,7 @@
 		conn netpoll.Connection
 		err  error
 	}
-	up := make(chan dialled)
+	up, began := make(chan dialled), time.Now()
 	go func() {
 		conn, err := netpoll.DialConnection("tcp", c.addr, within)
 		select {
@@ -285,6 +306,9 @@
 	case <-c.moved:
 		return errMoved
 	case d := <-up:
+		if d.err != nil && time.Since(began) >= within { // netpoll's own error for that has no type
+			return fmt.Errorf("%w: %w", errSilent, d.err)
+		}
 		if d.err != nil {
 			return d.err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -320,14 +320,10 @@
 	})
 }
 
-// MembersFailed tells that a call to discovery has failed, silent that nothing at all came of it.
-func (n *Node) MembersFailed(err error, silent bool) {
+// MembersFailed tells that a call to discovery has failed, and how: ListFailed, ListSilent or ListBusy.
+func (n *Node) MembersFailed(err error, how tulipglade.ListKind) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		kind := tulipglade.ListFailed
-		if silent {
-			kind = tulipglade.ListSilent
-		}
-		n.bal.Members(n.now(), kind, nil)
+		n.bal.Members(n.now(), how, nil)
 	})
 }
--- a/state.go
+++ b/state.go
@@ -621,6 +621,12 @@
 	return len(t.held) > 0
 }
 
+// askSpread is the time over which the gateways spread their calls to discovery. It answers in turn, and
+// works for nothing on what has waited too long: called by all at once, and soon again, it answers nobody.
+func (b *Balancer) askSpread() float64 {
+	return float64(b.cfg.AskEvery) * float64(b.cfg.Peers-1) * askEach
+}
+
 func (b *Balancer) horizon(slots float64) Span {
 	return max(b.period, Span(12*float64(b.silence)/max(slots, 1e-3))) // long enough for a few requests
 }
