Shut client connections before they close, and drop what crosses the end

Audit, shutdown: every close of a client's connection was one step (client.go, close). Bytes of the client that were unread then, or came behind it, reset the connection, and what the client had not read of its last answer went with it. Forced on loopback: an answer of 60 KB to a client with a small window, more bytes from it behind the close: 4,096 bytes read, then a reset.

Now behind a last answer, at a stop, after long idle and beyond the idle share a connection is half-closed; what still comes is read and dropped, never sent on (its client sees the end with no answer, and asks once more elsewhere); it closes when the client has, or after 0.5 s. These make room for others before anything that is used is touched. A stop waits for them within the time that SIGKILL leaves; a process that ends resets what is unread. Only to make room for a new connection, and where a client already broke off, is a connection still closed in one step.

--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -146,6 +146,17 @@
 	return w.Flush()
 }
 
+// finish tells the other side that nothing more comes. What it sends is read on. It returns false where the connection has ended.
+func (s *socket) finish() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.file != nil || s.ended || !s.conn.IsActive() {
+		return false
+	}
+	c, ok := s.conn.(interface{ Fd() int })
+	return ok && syscall.Shutdown(c.Fd(), syscall.SHUT_WR) == nil
+}
+
 // end closes the connection, wherever it is.
 func (s *socket) end() {
 	if s.file != nil {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -28,12 +28,12 @@
 	writing   bool     // an answer is on its way
 	last      bool     // the connection closes after this answer
 	continued bool
-	lingering bool // nothing more is read from it; it only waits for its refusal to be read
+	lingering bool // what still comes is dropped; it only waits for its last answer to be read
 	dropped   int  // bytes that came meanwhile
 	closed    bool
 	asked     bool // a whole request has come from it
 	idle      *list.Element
-	idleIn    *list.List // fresh or idleClients
+	idleIn    *list.List // fresh, idleClients or lingering
 	more      [][]byte   // came behind what c.in has room for
 	moreSize  int
 	cut       bool     // some of what came was dropped: nothing behind it can be read
@@ -141,13 +141,18 @@
 		c.idle = nil
 	}
 	if on && !c.closed {
-		if c.idleIn = &c.n.fresh; c.asked {
+		switch {
+		case c.lingering:
+			c.idleIn = &c.n.lingering
+		case c.asked:
 			c.idleIn = &c.n.idleClients
+		default:
+			c.idleIn = &c.n.fresh
 		}
 		c.idle, c.idleSince = c.idleIn.PushBack(c), c.n.now()
-		if most := c.n.sockets() / idleShare; c.asked && most > 0 && c.idleIn.Len() > most {
+		if most := c.n.sockets() / idleShare; c.asked && !c.lingering && most > 0 && c.idleIn.Len() > most {
 			if oldest := c.n.idleClient(c.idleIn, 0); oldest != nil && oldest != c {
-				oldest.close()
+				oldest.shut()
 			}
 		}
 	}
@@ -177,6 +182,26 @@
 	}
 }
 
+// shut ends a connection behind its last answer, or between two requests. The other side is told first, and what it has sent meanwhile is
+// read and dropped: a close over unread bytes resets the connection, and with it goes what the client has not read of its answer. Whoever
+// sent a request that crosses the end sees that, with no answer to it; nothing of it is sent on.
+func (c *client) shut() {
+	if c.closed || c.idle != nil && c.idleIn == &c.n.lingering {
+		return
+	}
+	c.lingering = true
+	c.in.release()
+	c.in, c.more = nil, nil
+	c.keeps(0)
+	if !c.finish() {
+		c.close()
+		return
+	}
+	c.setIdle(false)
+	c.setIdle(true)
+	c.n.at(c.n.now()+lingerFor, c.close)
+}
+
 // gone is a connection that has ended.
 func (c *client) gone() {
 	req := c.req
@@ -360,8 +385,7 @@
 	c.n.begin(r)
 }
 
-// lingerFor is how long a connection stays after the refusal of what could not be read, in microseconds. To
-// close it while more of that comes in would reset it, and the client might never see the refusal.
+// lingerFor is how long a connection stays after its last answer if the client does not close it, in microseconds.
 const lingerFor = 500_000
 
 // lingerBytes is how much of that is read: enough for what was on its way, but not all that a client may send.
@@ -400,13 +424,12 @@
 		head.release()
 		held.release()
 		switch {
-		case err == nil && c.lingering:
-			c.setIdle(true)
-			c.n.at(c.n.now()+lingerFor, c.close)
 		case err == nil && c.upload != nil && !c.upload.done:
 			c.afterEarly()
-		case err != nil || c.last:
+		case err != nil:
 			c.close()
+		case c.last:
+			c.shut()
 		default:
 			c.setIdle(true)
 			c.advance(c.n.now())
@@ -430,9 +453,9 @@
 				c.refuse(408, "request not complete in time")
 			case c.in != nil:
 			case !c.asked && now-c.since >= askWithin, idle >= idleAtMost:
-				c.close()
+				c.shut()
 			case c.asked && idle >= idleLeast && n.sockets() > 0 && len(n.clients) > n.sockets()/3:
-				c.close() // more than clients need for their requests, silent ones counted
+				c.shut() // more than clients need for their requests, silent ones counted
 			}
 		}
 	}
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -129,7 +129,7 @@
 	case c.last && c.upload != nil && !c.upload.done: // the request is still coming in
 		c.afterEarly()
 	case c.last:
-		c.close()
+		c.shut()
 	default:
 		c.setIdle(true)
 		c.advance(n.now())
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -19,6 +19,9 @@
 	drainEvery = 100_000
 	// drainPartly bounds the wait, at a stop, for requests that are still coming in.
 	drainPartly = 2_000_000
+	// drainUnread bounds the wait for connections that have been shut: the process that ends resets them. The longest deadline and 0.2 s are
+	// as good where that is more: SIGKILL comes 0.7 s after either.
+	drainUnread = 3_200_000
 )
 
 // drain is where a node stands on its way out of service.
@@ -29,6 +32,7 @@
 	since    int64 // when it began
 	turn     int   // counts drains: the timers of an earlier one do nothing
 	partly   int64 // until when a stop waits for what is coming in
+	unread   int64 // until when it waits for last answers to be read
 	drained  func()
 }
 
@@ -87,6 +91,7 @@
 		n.drain.stopping = true
 		now := n.now()
 		n.drain.partly = now + drainPartly
+		n.drain.unread = now + max(drainUnread, n.longest()+200_000)
 		n.at(max(now+grace.Microseconds(), n.drain.since+drainCloses), func() { n.drain.drained = done })
 	})
 }
@@ -122,14 +127,15 @@
 			e = e.Next()
 			fresh := !c.asked && n.now()-c.since < drainCloses && !n.drain.late
 			if !fresh && c.in == nil && c.unread() == 0 && c.clean() {
-				c.close()
+				c.shut()
 			}
 		}
 	}
 }
 
 func (n *Node) checkDrained() {
-	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || n.now() < n.drain.partly && n.comingIn() {
+	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || n.now() < n.drain.partly && n.comingIn() ||
+		n.now() < n.drain.unread && n.lingering.Len() > 0 {
 		return
 	}
 	done := n.drain.drained
@@ -137,6 +143,14 @@
 	done()
 }
 
+// longest is the longest deadline there is.
+func (n *Node) longest() (most int64) {
+	for i := range n.set.Module.Classes {
+		most = max(most, n.set.Module.Classes[i].Deadline)
+	}
+	return most
+}
+
 // comingIn tells whether a part of a request has come from a client.
 func (n *Node) comingIn() bool {
 	for c := range n.clients {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,7 @@
 	clients                 map[*client]struct{}
 	fresh                   list.List // of *client: connections that have never asked, oldest first
 	idleClients             list.List // of *client: the others that hold no request, oldest first
+	lingering               list.List // of *client: those that have been shut, oldest first
 	idleBackends            list.List // of *backend, oldest first
 	idleRecords             [64]idleRecord
 	idleMost, idleMostTill  int64 // what learnIdle found, and for how long it holds
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -110,6 +110,8 @@
 	return n
 }
 
+func (a *app) targets() []protocol.Target { return []protocol.Target{target("a", a)} }
+
 func target(uid string, a *app) protocol.Target {
 	return protocol.Target{UID: uid, Endpoint: a.Listener.Addr().String(), Zone: "z", Weight: 1}
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -628,12 +628,16 @@
 			c.close()
 		} else if c := n.idleClient(&n.idleClients, idleLeast); c != nil {
 			c.close()
+		} else if c := n.idleClient(&n.lingering, 0); c != nil {
+			c.close()
 		} else if e := n.idleBackends.Front(); e != nil {
 			n.closeBackend(e.Value.(*backend))
 		} else if c := n.idleClient(&n.idleClients, 0); c != nil {
 			c.close()
 		} else if c := n.idleClient(&n.fresh, 0); c != nil {
 			c.close()
+		} else if e := n.lingering.Front(); e != nil {
+			e.Value.(*client).close()
 		} else {
 			return false
 		}
