Look at an attempt once more as its connection comes, before the first byte

A host told to drain or gone meanwhile, or a window for repeats that had ended, was sent to all the same: forced on loopback, the request went to the host that drained, and a 504 followed.

TestAttemptThatWaitedIsLookedAtAgain (ten moments) and TestHostThatDrainsBeforeTheFirstByteGetsNothing (drains, is gone) fail without it. In TestClosingConnectionIsNotUsed the attempt made by hand becomes a probe, as an attempt without a request of the module's would now be dropped; what it checks is as it was.

--- a/balancer.go
+++ b/balancer.go
@@ -326,17 +326,6 @@
 
 // ---- holding and release ----
 
-func (b *Balancer) hold(r *request, front bool) {
-	t := &b.tenants[r.tenant]
-	r.held = true
-	t.held = append(t.held, r)
-	if front {
-		copy(t.held[1:], t.held)
-		t.held[0] = r
-	}
-	b.await(r)
-}
-
 func (b *Balancer) await(r *request) {
 	b.act.WakeAt(Token(r.id)*wakeKinds+wakeHeld, max(0, min(b.lastStart(r)-b.now, b.beat(r))))
 }
@@ -472,6 +461,18 @@
 		c.Scope == ScopeCell && a.cell == h.Cell
 }
 
+// Stands tells whether an attempt that has waited for its connection may begin: what allowed it may have changed meanwhile.
+func (b *Balancer) Stands(now Time, id ReqID, attempt int) bool {
+	b.now = now
+	r := b.reqs[id]
+	if r == nil || r.done || attempt >= len(r.tries) || now >= r.deadline {
+		return false
+	}
+	before, h := *r, r.tries[attempt].host
+	before.tries = r.tries[:attempt]
+	return h.Phase == PhaseReady && b.mayRepeat(&before, h)
+}
+
 // mayDecline tells whether a refusal, which promises that a repeat does no harm, would be true.
 func (b *Balancer) mayDecline(r *request) bool {
 	c := &b.cfg.Classes[r.class]
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -476,6 +476,47 @@
 	}
 }
 
+func TestAttemptThatWaitedIsLookedAtAgain(t *testing.T) {
+	// Guards: between the decision for an attempt and its first byte lies the time of a connection, in which its host may begin to drain, the
+	// window for repeats end, its client leave; it was sent all the same.
+	keyed := Class{Aim: 200 * ms, Deadline: 5000 * ms, Effect: ByKey, Window: 1000 * ms}
+	for name, c := range map[string]struct {
+		class Class
+		ran   bool // an attempt before it may have run
+		since func(g *gateway)
+		want  bool
+	}{
+		"nothing":                    {keyed, false, func(*gateway) {}, true},
+		"its host drains":            {keyed, false, func(g *gateway) { g.b.Members(g.now, ListDelta, []Host{{ID: g.tries[1][0], Phase: PhaseDraining}}) }, false},
+		"its host is gone":           {keyed, false, func(g *gateway) { g.b.Members(g.now, ListDelta, []Host{{ID: g.tries[1][0], Phase: PhaseGone}}) }, false},
+		"its host left off":          {keyed, false, func(g *gateway) { g.b.Members(g.now, ListFull, []Host{{ID: 99, Phase: PhaseReady}}) }, false},
+		"its client left":            {keyed, false, func(g *gateway) { g.b.Gone(g.now, 1) }, false},
+		"its deadline":               {keyed, false, func(g *gateway) { g.now += 5000 * ms }, false},
+		"the window, none ran":       {keyed, false, func(g *gateway) { g.now += 1200 * ms }, true},
+		"within the window":          {keyed, true, func(g *gateway) { g.now += 100 * ms }, true},
+		"the window":                 {keyed, true, func(g *gateway) { g.now += 1200 * ms }, false},
+		"a first one that runs once": {Class{Aim: 200 * ms, Deadline: 5000 * ms, Effect: Once}, false, func(*gateway) {}, true},
+	} {
+		cfg := settings()
+		cfg.Classes = []Class{c.class}
+		g := start(t, cfg, hosts(3)...)
+		g.request(1, 0, 0)
+		if c.ran {
+			g.settle(1, 0, Reset)
+		}
+		if n := len(g.tries[1]); n == 0 || c.ran && n != 2 {
+			t.Fatalf("%s: %d attempts", name, n)
+		}
+		c.since(g)
+		if got := g.b.Stands(g.now, 1, len(g.tries[1])-1); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+	if start(t, settings(), hosts(1)...).b.Stands(0, 7, 0) {
+		t.Error("an attempt that never was")
+	}
+}
+
 // ---- discovery ----
 
 func TestDiscoveryIsAskedUntilItAnswers(t *testing.T) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -602,6 +602,47 @@
 	}
 }
 
+// An attempt that waits for its connection is looked at once more when that has come: nothing is sent to a host that the node has been told of
+// meanwhile, and the request goes elsewhere.
+func TestHostThatDrainsBeforeTheFirstByteGetsNothing(t *testing.T) {
+	for name, state := range map[string]protocol.State{"drains": protocol.Terminating, "is gone": protocol.Terminated} {
+		t.Run(name, func(t *testing.T) {
+			app, other := newByHand(t, 0), newApp(t, serve)
+			n, addr := start(t, app.targets(), func(s *Settings) { s.ConnectTimeout *= 60 })
+			conn := dial(t, addr)
+			_, _ = io.WriteString(conn, text("read", 9000))
+			first, in := app.take()
+			ok(first, "one")
+			conn.answer()
+			until(n, func() bool { return len(n.hosts[1].idle) == 1 })
+			on(n, func() { // the next attempt waits for this connection
+				n.hosts[1].twiceTill = never
+				n.hosts[1].idle[0].servedAt = n.now() + 3_600_000_000
+			})
+			_, _ = io.WriteString(conn, text("once", 9000))
+			until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+			told := app.targets()[0]
+			told.State = state
+			n.Members(protocol.List{Rev: 1, Targets: []protocol.Target{told, target("b", other)}}, false)
+			until(n, func() bool { return len(n.hosts) == 2 })
+			on(n, func() {
+				for _, b := range n.hosts[1].idle { // it has rested
+					b.servedAt = 0
+				}
+				n.hosts[1].twiceTill = 0
+				n.handOver(n.hosts[1])
+			})
+			if code, body, _ := conn.answer(); code != 200 || body != "body of /once" {
+				t.Error(code, body)
+			}
+			_ = first.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if b, err := in.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the host read %q, %v, want the end", b, err)
+			}
+		})
+	}
+}
+
 // behindOf waits until so many things are posted that Run's goroutine has not begun with.
 func behindOf(n *Node, posted int) {
 	for there := 0; there < posted; runtime.Gosched() {
@@ -795,7 +836,7 @@
 		if n.rested(h) != short || n.rested(h) != long || n.rested(h) != nil {
 			t.Error("the wrong connection is used")
 		}
-		h.waiting = []*attempt{{req: &request{}}}
+		h.waiting = []*attempt{{probe: true, host: h, req: &request{}}}
 		timers := len(n.timers)
 		if n.handOver(h); len(n.timers) != timers+1 || len(h.waiting) != 1 {
 			t.Error("nobody looks again once the connection that one waits for has rested")
--- a/state.go
+++ b/state.go
@@ -603,6 +603,18 @@
 	return sum / max(n, 1)
 }
 
+// hold puts a request among those of its tenant that wait to be placed, in front or at the end.
+func (b *Balancer) hold(r *request, front bool) {
+	t := &b.tenants[r.tenant]
+	r.held = true
+	t.held = append(t.held, r)
+	if front {
+		copy(t.held[1:], t.held)
+		t.held[0] = r
+	}
+	b.await(r)
+}
+
 // holding tells whether any request is held.
 func (b *Balancer) holding() bool {
 	for i := range b.tenants {
