Let no tenant take over another's slots or learning by its number at SIGHUP

Audit, reloads: the module's rows of the slot matrix and of what is in flight were copied by number (state.go, Retune), also where that number is another tenant's by now; an entry moves only when well out of line, so a nearly right one of another tenant stayed. And where settings came to tell tenants apart, or no longer did, number 0 was the first named tenant's and, before or after, everybody's: it went on with what the others had used, and requests still open counted as its own (retune.go).

Now rows go with the tenant, not the number, and 'no tenants' is a tenant without a name, with a number of its own while its requests are open.

Lists: a whole list that has a backend twice and not alike is refused with one line that names it; the last good one stays. Among changes the later word counts, as before.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1400,3 +1400,49 @@
 		t.Errorf("limits %v and %v, rate %v", third.b.byID[1].limit, third.b.byID[2].limit, third.b.rate)
 	}
 }
+
+// A tenant that gets the number of one that has gone takes over nothing of it: neither its slots at hosts, nor what it used or asked for.
+func TestRetunedTenantTakesOverNothing(t *testing.T) {
+	cfg := tenants(0.9, 0.1)
+	g := start(t, cfg, hosts(3)...)
+	for id := ReqID(1); id <= 60; id++ {
+		g.request(id, 0, 0)
+		if len(g.tries[id]) == 1 {
+			g.run(20 * ms)
+			g.settle(id, 0, OK)
+		}
+		g.run(10 * ms)
+	}
+	g.run(5000 * ms)
+	if g.b.hosts[0].slots[0] == 0 || g.b.tenants[0].used[0] == 0 {
+		t.Fatal("nothing was learned")
+	}
+	per := g.b.hosts[0].per[0]
+	next := tenants(0.5, 0.5)
+	if err := g.b.Retune(g.now, next, []int{0, 1, 2, 3, 4, 5}, []int{-1, 0}); err != nil {
+		t.Fatal(err)
+	}
+	if u := g.b.tenants[0].used; u != [2]float64{} {
+		t.Errorf("the new tenant has used %v", u)
+	}
+	for _, h := range g.b.hosts {
+		want := 0.0 // as for one of whom nothing is known
+		if g.b.fit(h) {
+			want = g.b.tenants[0].slots * g.b.limitOf(h) / max(g.b.capacity, g.b.limitOf(h))
+		}
+		if math.Abs(h.slots[0]-want) > 1e-9 || h.per[0] != 0 || h.per[1] != per {
+			t.Errorf("host %d: slots %v, want %v for the new tenant; in flight %v", h.ID, h.slots, want, h.per)
+		}
+	}
+	// An entry of the slot matrix moves only when well out of line: one that is nearly right for another tenant would stay.
+	h := g.b.hosts[0]
+	for range 2 { // the second time the parts are as they were
+		h.slots[0] *= 1.2
+		if err := g.b.Retune(g.now, next, []int{0, 1, 2, 3, 4, 5}, []int{-1, 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := g.b.tenants[0].slots * g.b.limitOf(h) / max(g.b.capacity, g.b.limitOf(h)); math.Abs(h.slots[0]-want) > 1e-9 {
+		t.Errorf("slots %v, want %v for the new tenant", h.slots, want)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 // New returns a Node that has not started. Run must be called before anything else has an effect.
 func New(set Settings, discovery Discovery, log *slog.Logger) (*Node, error) {
 	start := time.Now()
+	set.nameless()
 	n := &Node{set: &set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
 		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
 		zones: index(set.Zones), requests: map[tulipglade.ReqID]*request{}, byUID: map[string]*host{},
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -60,8 +60,8 @@
 	if !ok {
 		return nil, 400, "unknown class"
 	}
-	tenant := 0
-	if len(n.tenants) > 0 {
+	tenant, ok := n.tenants[""] // where the settings tell no tenants apart
+	if !ok {
 		if tenant, ok = n.tenants[string(msg.Get("x-customer"))]; !ok {
 			return nil, 400, "unknown tenant"
 		}
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -13,13 +13,11 @@
 // another, as those of its requests that are open keep the old rules; numbers that only open requests have stay as they are.
 func (n *Node) retune(set Settings) {
 	old := n.set
+	set.nameless()
 	set.Sockets, set.Memory, set.Seed = old.Sockets, old.Memory, old.Seed
 	usedClasses, usedTenants := make([]bool, len(old.Classes)), make([]bool, len(old.Tenants))
 	for _, r := range n.requests {
-		usedClasses[r.class] = true
-		if len(usedTenants) > 0 {
-			usedTenants[r.tenant] = true
-		}
+		usedClasses[r.class], usedTenants[r.tenant] = true, true
 	}
 	names, rules := set.Classes, set.Module.Classes
 	was := func(name string) int {
@@ -58,12 +56,6 @@
 			set.Tenants, set.Module.Tenants = append(set.Tenants, old.Tenants[i]), append(set.Module.Tenants, tulipglade.Tenant{})
 		}
 	}
-	if len(tenants) == 0 || len(old.Tenants) == 0 { // without any, all requests belong to the one of number 0
-		tenantsFrom = append([]int{0}, make([]int, max(len(tenants), 1)-1)...)
-		for i := 1; i < len(tenantsFrom); i++ {
-			tenantsFrom[i] = -1
-		}
-	}
 	if err := n.bal.Retune(n.now(), set.Module, from, tenantsFrom); err != nil {
 		n.log.Error("settings not taken up", "err", err)
 		return
@@ -73,6 +65,14 @@
 	n.log.Info("settings taken up", "classes", names, "attempts", set.Module.MaxAttempts, "tenants", tenantNames)
 }
 
+// nameless has all requests belong to a tenant without a name where the settings tell none apart. No tenant that has one goes on with what
+// that one has learned, nor the other way round.
+func (s *Settings) nameless() {
+	if len(s.Tenants) == 0 {
+		s.Tenants, s.Module.Tenants = []string{""}, []tulipglade.Tenant{{Share: 1}}
+	}
+}
+
 // numbers gives each of the new names a number: its own where it stays, else one that nobody has, else a further one.
 // at tells, for each number, which of the new names has it, or -1; from whose learning it goes on with, by the old
 // numbers, or -1.
--- a/internal/node/retune_test.go
+++ b/internal/node/retune_test.go
@@ -182,3 +182,40 @@
 		return true
 	})
 }
+
+// Where tenants come to be told apart, or no longer are, while requests are open, nobody goes on under the number of those: their shares and
+// what is in flight for them are their own.
+func TestTenantsAreToldApartUnderOpenRequests(t *testing.T) {
+	app, arrived, release := newHeldApp(t)
+	n, addr := start(t, []protocol.Target{target("a", app)}, func(s *Settings) { s.Tenants, s.Module.Tenants = nil, nil })
+	conns := []*caller{dial(t, addr), dial(t, addr), dial(t, addr)}
+	of := func(k int, change func(*Settings)) {
+		if k > 0 {
+			retuned(n, change)
+		}
+		_, _ = io.WriteString(conns[k], strings.Replace(text("read", 9000), "X-Customer: t", "X-Customer: "+[]string{"any", "t", "any"}[k], 1))
+		<-arrived
+	}
+	of(0, nil)
+	of(1, func(*Settings) {})
+	of(2, func(s *Settings) { s.Tenants, s.Module.Tenants = nil, nil })
+	on(n, func() {
+		names := map[int]string{}
+		for _, r := range n.requests {
+			names[r.tenant] += r.set.Tenants[r.tenant] + ","
+		}
+		if diff := cmp.Diff(map[int]string{0: ",", 1: "t,", 2: ","}, names); diff != "" {
+			t.Error("tenants by number\n", diff)
+		}
+	})
+	close(release)
+	for _, c := range conns {
+		if code, _, _ := c.answer(); code != 200 {
+			t.Error(code)
+		}
+	}
+	retuned(n, func(*Settings) {})
+	if code, _, _ := dial(t, addr).ask(strings.Replace(text("read", 9000), "X-Customer: t", "X-Customer: any", 1)); code != 400 {
+		t.Errorf("an unknown tenant got %d", code)
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -62,6 +62,7 @@
 		return List{}, fmt.Errorf("list of backends: %d targets, over %d", len(in.Targets), maxTargets)
 	}
 	out := List{Rev: in.Rev, All: in.All, Targets: make([]Target, 0, len(in.Targets))}
+	named := make(map[string]Target, len(in.Targets))
 	for i, t := range in.Targets {
 		state, ok := map[string]State{"in_service": InService, "terminating": Terminating,
 			"terminated": Terminated}[t.State]
@@ -74,8 +75,14 @@
 		if _, err := netip.ParseAddrPort(t.Endpoint); err != nil && state != Terminated {
 			return List{}, fmt.Errorf("targets[%d].endpoint: %w", i, err)
 		}
-		out.Targets = append(out.Targets, Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell,
-			State: state, Weight: t.Weight, BootMs: min(max(t.BootMs, 0), maxBootMs)})
+		target := Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell,
+			State: state, Weight: t.Weight, BootMs: min(max(t.BootMs, 0), maxBootMs)}
+		// Among changes the later one counts. A whole list has one word on each backend, or nobody can tell which of them holds.
+		if before, twice := named[t.UID]; in.All && twice && before != target {
+			return List{}, fmt.Errorf("targets[%d].uid: %q is there twice, and not alike", i, t.UID)
+		}
+		named[t.UID] = target
+		out.Targets = append(out.Targets, target)
 	}
 	return out, nil
 }
--- a/state.go
+++ b/state.go
@@ -236,8 +236,11 @@
 	}
 	for _, h := range b.hosts {
 		per, slots := make([]int, len(next.tenants)), make([]float64, len(next.tenants))
-		copy(per, h.per)
-		copy(slots, h.slots)
+		for i, old := range tenants { // a number may be another tenant's by now
+			if old >= 0 {
+				per[i], slots[i] = h.per[old], h.slots[old]
+			}
+		}
 		h.per, h.slots = per, slots
 	}
 	b.cfg, b.classes, b.tenants, b.period, b.aim = next.cfg, next.classes, next.tenants, next.period, next.aim
