Bring a connection back to the poller before it is shut; believe no list of the gone

Audit, shutdown: a connection that answered early, and whose large request had come in by then, was out of the poller as it was shut, so it was closed in one step over whatever came behind. shut now brings it back first (comeBack, as at the end of a large request).

Audit, list watches: a whole list on which every backend is terminated emptied the fleet, which an empty one may not. It counts as a failed call now; TestListOfTheGoneIsNotBelieved fails without that.

One run of the node's tests panicked under the race detector: TestStopWaitsForLastAnswersToBeRead took a connection for idle whose answer had been read before the writer's word came.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -271,6 +271,25 @@
 	}
 }
 
+// A whole list on which every backend has gone is as empty as one with none: it is not believed.
+func TestListOfTheGoneIsNotBelieved(t *testing.T) {
+	for list, want := range map[string]string{
+		`{"rev":7,"all":true,"targets":[]}`:                                                           "failed",
+		`{"rev":7,"all":true,"targets":[{"uid":"a","state":"terminated"}]}`:                           "failed",
+		`{"rev":7,"all":false,"targets":[{"uid":"a","state":"terminated"}]}`:                          "list 7 false",
+		`{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"terminating"}]}`: "list 7 true",
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, list) }))
+		to := make(heard, 100)
+		w := newWatch(srv.Listener.Addr().String(), 1)
+		w.to = to
+		w.Observe(true)
+		to.want(t, want)
+		w.Observe(false)
+		srv.Close()
+	}
+}
+
 // A discovery that answers at once, whatever is asked, is not called in a tight loop.
 func TestHastyDiscoveryIsNotFlooded(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,7 +183,7 @@
 		if err != nil && !errors.Is(err, errSilent) && wait == 0 && time.Since(began) >= w.turn {
 			err = fmt.Errorf("%w: %w", errBusy, err)
 		}
-		if err == nil && l.All && len(l.Targets) == 0 {
+		if err == nil && l.All && !slices.ContainsFunc(l.Targets, func(t protocol.Target) bool { return t.State != protocol.Terminated }) {
 			err = fmt.Errorf("discovery at %s: %w", c.addr, errNoBackends)
 		}
 		if w.lost != nil && err != nil {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -193,6 +193,9 @@
 	c.in.release()
 	c.in, c.more = nil, nil
 	c.keeps(0)
+	if c.file != nil && !c.comeBack() {
+		return
+	}
 	if !c.finish() {
 		c.close()
 		return
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -107,6 +107,7 @@
 	n, addr := start(t, newApp(t, serve).targets(), nil)
 	conn := dial(t, addr)
 	conn.ask(ready)
+	until(n, func() bool { return n.idleClients.Len() == 1 }) // the answer may overtake the writer's word
 	ended := make(chan struct{})
 	on(n, func() {
 		n.leave("draining")
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -181,16 +181,13 @@
 // cameWhole returns the connection to the poller, with what came behind the request.
 func (c *client) cameWhole(rest []byte) {
 	if c.last && c.req == nil && !c.writing {
-		c.close()
+		c.shut()
 		return
 	}
 	if c.writing { // an early answer is on its way through the descriptor; the connection closes behind it
 		return
 	}
-	conn, err := back(c.file)
-	c.upload = nil
-	if err != nil {
-		c.gone()
+	if !c.comeBack() {
 		return
 	}
 	if len(rest) > 0 {
@@ -198,15 +195,26 @@
 		c.begins(c.n.now())
 		c.in.add(rest)
 	}
+	if c.req == nil {
+		c.setIdle(true)
+		c.advance(c.n.now())
+	}
+}
+
+// comeBack gives the poller a connection that had left it. Where that can't be, it is gone.
+func (c *client) comeBack() bool {
+	conn, err := back(c.file)
+	c.upload = nil
+	if err != nil {
+		c.gone()
+		return false
+	}
 	c.inside(conn)
 	c.onClose(func() { c.n.post(c.gone) })
 	if err := conn.SetOnRequest(c.input); err != nil || !conn.IsActive() {
 		c.n.post(c.gone)
 	}
-	if c.req == nil {
-		c.setIdle(true)
-		c.advance(c.n.now())
-	}
+	return true
 }
 
 // flowsMost is how many large messages may pass through at once: a quarter of the memory is for them.
