--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1167,6 +1167,65 @@
 	}
 }
 
+// A client that leaves while its attempt waits for a connection has no attempt begun, whether the settings allow to cancel or not, and
+// however it leaves.
+func TestClientGoneBeforeTheFirstByte(t *testing.T) {
+	for name, c := range map[string]struct{ cancel, reset bool }{
+		"closes": {true, false}, "resets": {true, true}, "closes, nothing is cancelled": {false, false}, "resets, nothing is cancelled": {false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, arrived, release := newHeldApp(t)
+			n, addr := start(t, a.targets(), func(s *Settings) { s.Module.MayCancel = c.cancel })
+			first, second := dial(t, addr), dial(t, addr)
+			_, _ = io.WriteString(first, text("once", 9000))
+			<-arrived
+			n.post(func() { n.hosts[1].addr, n.hosts[1].dials = "127.0.0.1:1", 1 }) // a dial on its way that never ends
+			_, _ = io.WriteString(second, text("once", 9000))
+			until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+			if c.reset {
+				_ = second.Conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = second.Close()
+			until(n, func() bool { return n.open == 1 })
+			go func() { // should one come all the same
+				select {
+				case <-arrived:
+				case <-t.Context().Done():
+				}
+			}()
+			close(release) // a connection is free
+			if code, _, _ := first.answer(); code != 200 {
+				t.Error(code)
+			}
+			until(n, func() bool { return len(n.hosts[1].waiting) == 0 && len(n.hosts[1].idle) == 1 })
+			if k := a.seen.Load(); k != 1 {
+				t.Errorf("%d requests sent on", k)
+			}
+		})
+	}
+}
+
+// Of what a client has sent at once before it left, at most the first request is begun.
+func TestClientGoneBehindManyRequests(t *testing.T) {
+	n, addr := start(t, newApp(t, serve).targets(), nil)
+	conn := dial(t, addr)
+	conn.ask(ready)
+	busy, free := make(chan struct{}), make(chan struct{})
+	n.post(func() { close(busy); <-free })
+	<-busy
+	_, _ = io.WriteString(conn, text("once", 9000)+text("once", 9000)+text("read", 9000)+text("once", 9000))
+	behindOf(n, 1)
+	_ = conn.Close()
+	behindOf(n, 2)
+	close(free)
+	until(n, func() bool { return len(n.clients) == 0 && n.open == 0 })
+	on(n, func() {
+		if n.lastID > 1 {
+			t.Errorf("%d requests begun", n.lastID)
+		}
+	})
+}
+
 // Requests written together are answered one by one and in order; so is one whose body waits for a word.
 func TestRequestsOnOneConnection(t *testing.T) {
 	a := newApp(t, serve)
