Draw settings and ends of idle connections in the account of a request, too

TestAccount draws SIGHUPs that change attempts and cancels, and idle clients that are sent away. A client may meet the end of a connection that has carried an answer: in order, with not a byte before it, and its request must never have been taken or begun by a host, which the books now check by id. Before, any such end failed the test as 'no answer'; none was drawn.

--- a/internal/node/account_test.go
+++ b/internal/node/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,7 +23,9 @@
 type books struct {
 	module
 	fail     func(format string, args ...any)
+	of       *Node
 	taken    map[tulipglade.ReqID]bool
+	ids      map[string]bool // the clients' own, of those
 	outcomes map[[2]uint64]int
 }
 
@@ -31,6 +34,7 @@
 		b.fail("request %d is taken twice", a.ID)
 	}
 	b.taken[a.ID] = true
+	b.ids[string(b.of.requests[a.ID].msg.Get("x-trace-id"))] = true
 	b.module.Request(now, a)
 }
 
@@ -127,6 +131,7 @@
 	asked = map[string]string{} // class by id
 	var conn net.Conn
 	var in *bufio.Reader
+	used := false // an answer has come on it: from then on the node may end it between two requests
 	defer func() {
 		if conn != nil {
 			_ = conn.Close()
@@ -140,7 +145,7 @@
 				return
 			}
 			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-			in = bufio.NewReader(conn)
+			in, used = bufio.NewReader(conn), false
 		}
 		class := []string{"read", "once", "keyed"}[(i+client)%3]
 		var answers []string // ids of which one is due, in this order
@@ -174,12 +179,21 @@
 		default:
 			_, _ = io.WriteString(conn, request)
 		}
-		for _, id := range answers {
+		for k, id := range answers {
 			resp, err := http.ReadResponse(in, nil)
+			if used && errors.Is(err, io.ErrUnexpectedEOF) && in.Buffered() == 0 { // the end, in order, and not a byte before it
+				for _, id := range answers[k:] {
+					asked[id] = crossed
+				}
+				_ = conn.Close()
+				conn = nil
+				break
+			}
 			if err != nil {
 				fail("%s (%s): no answer: %v", id, way, err)
 				return
 			}
+			used = true
 			body, err := io.ReadAll(resp.Body)
 			switch {
 			case err != nil:
@@ -198,6 +212,9 @@
 	return asked
 }
 
+// crossed is the class of a request that met the end of its connection: it was never taken, and nothing of it may run.
+const crossed = "crossed"
+
 // Whatever hosts and clients do, and lists say meanwhile: each request taken gets one whole answer, a host's own or a refusal
 // or failure; each attempt one outcome; what must run once does so once at most; and in the end nothing is kept.
 func TestAccount(t *testing.T) {
@@ -233,7 +250,7 @@
 			}
 		})
 		defer stop()
-		b := &books{fail: fail, taken: map[tulipglade.ReqID]bool{}, outcomes: map[[2]uint64]int{}}
+		b := &books{fail: fail, of: n, ids: map[string]bool{}, taken: map[tulipglade.ReqID]bool{}, outcomes: map[[2]uint64]int{}}
 		twice := rapid.Bool().Draw(rt, "known to answer twice")
 		on(n, func() {
 			b.module, n.bal = n.bal, b
@@ -254,8 +271,17 @@
 			g.Wait()
 			all.Store(true)
 		}()
-		for i, what := range rapid.SliceOfN(rapid.SampledFrom([]string{"drains", "goes", "comes back", "restarts", "moves away"}), 0, 6).Draw(rt, "news") {
+		for i, what := range rapid.SliceOfN(rapid.SampledFrom([]string{"drains", "goes", "comes back", "restarts", "moves away",
+			"idle clients are sent away", "settings"}), 0, 6).Draw(rt, "news") {
 			until(n, func() bool { return all.Load() || len(b.taken) > i && n.open > 0 }) // while hosts are at work
+			switch what {
+			case "idle clients are sent away":
+				on(n, n.closeIdleClients)
+				continue
+			case "settings":
+				retuned(n, func(s *Settings) { s.Module.MaxAttempts, s.Module.MayCancel = 1+i%3, i%2 == 0 })
+				continue
+			}
 			one := list[i%len(list)]
 			one.BootMs = int64(i) // a process of its own, where it is another one
 			switch what {
@@ -290,6 +316,8 @@
 		for _, s := range hosts {
 			_ = s.Close()
 		}
+		var taken map[string]bool
+		on(n, func() { taken = b.ids })
 		for _, asked := range classes {
 			for id, class := range asked {
 				ran := 0
@@ -298,8 +326,8 @@
 					ran += s.ran[id]
 					s.mu.Unlock()
 				}
-				if class == "once" && ran > 1 {
-					fail("%s ran %d times", id, ran)
+				if class == "once" && ran > 1 || class == crossed && (ran > 0 || taken[id]) {
+					fail("%s (%s) ran %d times, taken %v", id, class, ran, taken[id])
 				}
 			}
 		}
