--- a/api.go
+++ b/api.go
@@ -100,8 +100,8 @@
 // ListKind says what a Members event carries.
 type ListKind uint8
 
-// ToldWithin is how long after discovery has a change, and can be reached, that counts as told to a gateway, whether or not it has
-// arrived (protocol, figures). A gateway must have asked and been answered by then, whatever failed before.
+// ToldWithin is how long after discovery has a change, and can be reached, that counts as told to a gateway,
+// whether or not it has arrived (protocol, figures). By then a gateway must have been answered, whatever failed.
 const ToldWithin Span = 6_000_000
 
 // The kinds of Members events.
@@ -111,7 +111,7 @@
 	ListCached
 	ListFailed // the call was refused, or broke off
 	ListSilent // it was not answered at all: where it was a watch, others may still hear of changes
-	ListBusy   // it was turned away after it had waited its time: discovery can be reached, but has more callers than it can answer
+	ListBusy   // it was turned away after it had stood in line: discovery has more callers than it can answer
 )
 
 // Report is a host's own account of its load; a field not reported is negative.
--- a/balancer.go
+++ b/balancer.go
@@ -461,7 +461,7 @@
 		c.Scope == ScopeCell && a.cell == h.Cell
 }
 
-// Stands tells whether an attempt that has waited for its connection may begin: what allowed it may have changed meanwhile.
+// Stands tells whether an attempt that has waited for its connection may begin: much may have changed.
 func (b *Balancer) Stands(now Time, id ReqID, attempt int) bool {
 	b.now = now
 	r := b.reqs[id]
@@ -557,9 +557,9 @@
 // alone: an error costs it for good, while others find out whether the host is well again.
 func (b *Balancer) trusted(h *host) bool { return b.fit(h) && h.bad < badSuspect+badUsual*b.usualBad }
 
-// coldRoom keeps a cold host from being pushed over. Each gateway has turns, at a part of the stated multiple of what the host can
-// do, measured by what a warm host answers to this gateway. A turn that is not used in time is lost: hundreds of gateways would
-// else save them up, and spend them in one moment. So all together keep the budget, however many they are.
+// coldRoom keeps a cold host from being pushed over. Each gateway has turns, at a part of the stated multiple
+// of what the host can do, measured by what a warm one answers to this gateway. One not used in time is lost:
+// hundreds of gateways would save them up, and spend them in one moment. So all together keep the budget.
 func (b *Balancer) coldRoom(h *host) bool {
 	warmth := b.warmth(h)
 	if warmth == 1 || b.cfg.ColdMultiple <= 0 || b.cfg.ColdWindow <= 0 {
@@ -671,7 +671,7 @@
 		b.log("discovery: lost")
 		told := float64(ToldWithin)
 		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told,
-			ListBusy: max(askLatest*told, b.askSpread())}[kind] // sooner, all would call too much, and none be answered
+			ListBusy: max(askLatest*told, b.askSpread())}[kind] // sooner, all would stand in line for nothing
 		b.askAgain(min(max(float64(b.period)/4, b.askSpread())*math.Exp2(float64(b.askFails)), most))
 		b.askFails = min(b.askFails+1, ejectMost)
 		return
@@ -681,7 +681,7 @@
 	fresh := b.merge(kind, list)
 	b.regroup()
 	for _, h := range fresh {
-		// Taken to be like the others. Its first turn comes at a time of our own: hundreds hear of it together.
+		// Taken to be like the others. Its first turn is at a time of our own: hundreds hear of it together.
 		h.limit, h.fails, h.outTill, h.bad, h.outs = b.typical*b.part(h), 0, 0, 0, 0
 		h.slow, h.cores = 1, 0
 		h.rank = mix(cmp.Or(h.Key, uint64(h.ID)))
