--- a/api.go
+++ b/api.go
@@ -101,7 +101,7 @@
 type ListKind uint8
 
 // ToldWithin is how long after discovery has a change, and can be reached, that counts as told to a gateway,
-// whether or not it has arrived (protocol, figures). By then a gateway must have been answered, whatever failed.
+// whether or not it has arrived (protocol, figures). By then a gateway must have been answered.
 const ToldWithin Span = 6_000_000
 
 // The kinds of Members events.
