--- a/cmd/tulipglade/fleet_test.go
+++ b/cmd/tulipglade/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,8 +48,6 @@
 	heard   map[int]bool  // processes that have been told of the change
 	all     chan struct{} // closed as all have
 	n       int
-	srvs    []*http.Server
-	addrs   []string
 }
 
 // drained is the change that discovery has.
@@ -58,6 +58,13 @@
 		s.mu.Lock()
 		refuses := s.refuses
 		s.mu.Unlock()
+		if refuses == down {
+			if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}
+			return
+		}
 		if refuses != 0 {
 			select {
 			case <-time.After(refuses):
@@ -74,9 +81,11 @@
 		_, _ = io.WriteString(w, drained)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.heard[i] {
+			return
+		}
 		if s.heard[i] = true; len(s.heard) == s.n {
 			close(s.all)
-			s.heard = nil
 		}
 	}
 }
@@ -98,55 +107,52 @@
 	close(s.tired)
 }
 
-// up has discovery listen at the addresses that it had, refusing calls after so long if that is not 0.
-func (s *service) up(t *testing.T, refuses time.Duration) {
-	t.Helper()
+// is says what becomes of calls from here on.
+func (s *service) is(how time.Duration) {
 	s.mu.Lock()
-	s.refuses, s.heard, s.all, s.refused, s.tired = refuses, map[int]bool{}, make(chan struct{}), map[int]int{}, make(chan struct{})
-	s.mu.Unlock()
-	for i, addr := range s.addrs {
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		srv := &http.Server{Handler: s.handler(i)}
-		s.srvs = append(s.srvs, srv)
-		go func() { _ = srv.Serve(ln) }()
-	}
-}
-
-func (s *service) down() {
-	for _, srv := range s.srvs {
-		_ = srv.Close()
-	}
-	s.srvs = nil
+	defer s.mu.Unlock()
+	s.refuses, s.heard, s.all, s.refused, s.tired = how, map[int]bool{}, make(chan struct{}), map[int]int{}, make(chan struct{})
 }
 
-// free is an address that nobody listens at.
-func free(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
+// down has each call reset at once.
+const down = time.Duration(-1 << 62)
 
 // process is the program, started by a test.
 type process struct {
 	cmd    *exec.Cmd
 	config string
-	addr   string
+	addr   chan string
 }
 
 func (p *process) start(t *testing.T) {
 	t.Helper()
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), "TULIPGLADE_TEST_RUN="+p.config)
+	log, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	addr := make(chan string, 1)
+	p.addr = addr
+	go func() { // to the end, or the process would wait for a reader
+		for lines := bufio.NewScanner(log); lines.Scan(); {
+			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving"); ok {
+				_, rest, _ = strings.Cut(rest, " listen=")
+				rest, _, _ = strings.Cut(rest, " ")
+				addr <- rest
+			}
+		}
+	}()
+}
+
+// at is where the process listens, once it does.
+func (p *process) at() string {
+	at := <-p.addr
+	p.addr <- at
+	return at
 }
 
 func (p *process) kill() {
@@ -162,8 +168,14 @@
 	for _, p := range all {
 		wg.Go(func() {
 			c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			var at string
+			select {
+			case at = <-p.addr:
+				p.addr <- at
+			case <-time.After(within):
+			}
 			for time.Now().Before(end) {
-				if resp, err := c.Get("http://" + p.addr + "/ready"); err == nil {
+				if resp, err := c.Get("http://" + at + "/ready"); err == nil {
 					_ = resp.Body.Close()
 					if resp.StatusCode == 200 {
 						ready.Add(1)
@@ -183,18 +195,21 @@
 func TestProcessesWithoutDiscovery(t *testing.T) {
 	const n = 20
 	s := &service{n: n}
+	s.is(down)
 	app := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer app.Close()
 	var all []*process
 	for i := range n {
-		s.addrs = append(s.addrs, free(t))
-		p := &process{config: filepath.Join(t.TempDir(), "config.json"), addr: free(t)}
+		srv := httptest.NewServer(s.handler(i))
+		defer srv.Close()
+		defer srv.CloseClientConnections()
+		p := &process{config: filepath.Join(t.TempDir(), "config.json")}
 		text := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"rev":4,"all":true,"targets":[
 			{"uid":"a","endpoint":%q,"az":"z","state":"in_service","capacity_hint":1},{"uid":"b","endpoint":"127.0.0.1:1","az":"z","state":"in_service","capacity_hint":1}]},
 			"settings":{"discovery":"ask","me":%d,"peers_total":%d,"zones":["z"],"orgs":[{"name":"t","share":1}],"tick_us":5000,
 			"profiles":[{"name":"read","aim_us":600000,"deadline_us":1500000,"effect":"repeatable"}],
 			"limits":{"connect_timeout_us":250000,"keepalive_us":30000000,"max_attempts":3,"max_open":20000},
-			"rules":{"ask_every_us":9000000,"grace_to_answer_us":20000,"drain_grace_us":500000}}}`, i, p.addr, s.addrs[i], descriptors, app.Listener.Addr().String(), i, n)
+			"rules":{"ask_every_us":9000000,"grace_to_answer_us":20000,"drain_grace_us":500000}}}`, i, "127.0.0.1:0", srv.Listener.Addr().String(), descriptors, app.Listener.Addr().String(), i, n)
 		if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -205,7 +220,7 @@
 	if k := readyWithin(all, 10*time.Second); k < n*9/10 {
 		t.Fatalf("%d of %d ready without discovery", k, n)
 	}
-	s.up(t, -1)
+	s.is(-1)
 	select {
 	case <-s.tired:
 	case <-time.After(time.Minute):
@@ -213,16 +228,14 @@
 	}
 	for _, p := range all { // more idle clients than there are descriptors
 		for range descriptors * 5 / 4 {
-			conn, err := net.DialTimeout("tcp", p.addr, 5*time.Second)
+			conn, err := net.DialTimeout("tcp", p.at(), 5*time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer func() { _ = conn.Close() }()
 		}
 	}
-	s.mu.Lock()
-	s.refuses = 0
-	s.mu.Unlock()
+	s.is(0)
 	select {
 	case <-s.all:
 	case <-time.After(6 * time.Second):
@@ -230,8 +243,7 @@
 		t.Errorf("%d of %d have heard 6 s after discovery was back", len(s.heard), n)
 		s.mu.Unlock()
 	}
-	s.down()
-	s.up(t, 2*time.Second)
+	s.is(2 * time.Second)
 	for _, p := range all {
 		p.kill()
 	}
@@ -241,9 +253,7 @@
 	if k := readyWithin(all, 10*time.Second); k < n*9/10 {
 		t.Errorf("%d of %d ready again before a discovery with too many callers", k, n)
 	}
-	s.down()
-	s.up(t, 0) // and it has room again
-	defer s.down()
+	s.is(0) // and it has room again
 	select {
 	case <-s.all:
 	case <-time.After(6 * time.Second):
