Name the look before the first byte for what it asks: MayBegin

Stands, Node.stands and the function stands of a connection's other side were three names for two concepts. The module's question is MayBegin now, the node's mayBegin; stands stays with connections. No line of code differs otherwise.

--- a/balancer.go
+++ b/balancer.go
@@ -461,8 +461,8 @@
 		c.Scope == ScopeCell && a.cell == h.Cell
 }
 
-// Stands tells whether an attempt that has waited for its connection may begin: much may have changed.
-func (b *Balancer) Stands(now Time, id ReqID, attempt int) bool {
+// MayBegin tells whether an attempt that has waited for its connection may begin: much may have changed.
+func (b *Balancer) MayBegin(now Time, id ReqID, attempt int) bool {
 	b.now = now
 	r := b.reqs[id]
 	if r == nil || r.done || attempt >= len(r.tries) || now >= r.deadline {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -508,11 +508,11 @@
 			t.Fatalf("%s: %d attempts", name, n)
 		}
 		c.since(g)
-		if got := g.b.Stands(g.now, 1, len(g.tries[1])-1); got != c.want {
+		if got := g.b.MayBegin(g.now, 1, len(g.tries[1])-1); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
-	if start(t, settings(), hosts(1)...).b.Stands(0, 7, 0) {
+	if start(t, settings(), hosts(1)...).b.MayBegin(0, 7, 0) {
 		t.Error("an attempt that never was")
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	Loading(now tulipglade.Time, id tulipglade.ReqID, on bool)
 	Settled(now tulipglade.Time, s tulipglade.Settlement)
 	Checked(now tulipglade.Time, id tulipglade.HostID, out tulipglade.Outcome, took tulipglade.Span, rep *tulipglade.Report)
-	Stands(now tulipglade.Time, id tulipglade.ReqID, attempt int) bool
+	MayBegin(now tulipglade.Time, id tulipglade.ReqID, attempt int) bool
 	Gone(now tulipglade.Time, id tulipglade.ReqID)
 	Wake(now tulipglade.Time, t tulipglade.Token)
 	Retune(now tulipglade.Time, cfg tulipglade.Config, classes, tenants []int) error
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -311,7 +311,7 @@
 // handOver gives the connections that have rested to those who wait, the longest first.
 func (n *Node) handOver(h *host) {
 	for len(h.waiting) > 0 {
-		if a := h.waiting[0]; !n.stands(a) { // since it was asked for
+		if a := h.waiting[0]; !n.mayBegin(a) { // since it was asked for
 			h.waiting = h.waiting[1:]
 			n.settle(a, tulipglade.Moot, nil)
 		} else if b := n.rested(h); b != nil {
@@ -328,12 +328,12 @@
 	}
 }
 
-// stands tells whether an attempt that has waited may still begin, at the moment in which its first byte would be written.
-func (n *Node) stands(a *attempt) bool {
+// mayBegin tells whether an attempt that has waited may still begin, at the moment in which its first byte would be written.
+func (n *Node) mayBegin(a *attempt) bool {
 	if a.probe {
 		return a.host.state == protocol.InService
 	}
-	return !a.req.done && n.bal.Stands(n.now(), a.req.id, a.number)
+	return !a.req.done && n.bal.MayBegin(n.now(), a.req.id, a.number)
 }
 
 // lookAgain has the next connection that will have rested handed over then. All idle ones rest, or somebody would have them.
