Set up the request that waits for a connection in one place in the tests

TestAnsweredRequestIsNotSentOn and TestClientGoneBeforeTheFirstByte wrote the same 20 lines, and TestProcessesWithoutDiscovery the same wait twice.

--- a/cmd/tulipglade/fleet_test.go
+++ b/cmd/tulipglade/fleet_test.go
@@ -114,6 +114,18 @@
 	s.refuses, s.heard, s.all, s.refused, s.tired = how, map[int]bool{}, make(chan struct{}), map[int]int{}, make(chan struct{})
 }
 
+// tellsAll waits until all have heard, as long as a change may take to count as told.
+func (s *service) tellsAll(t *testing.T, since string) {
+	t.Helper()
+	select {
+	case <-s.all:
+	case <-time.After(6 * time.Second):
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.Errorf("%d of %d have heard 6 s after discovery %s", len(s.heard), s.n, since)
+	}
+}
+
 // down has each call reset at once.
 const down = time.Duration(-1 << 62)
 
@@ -167,8 +179,7 @@
 	var wg sync.WaitGroup
 	for _, p := range all {
 		wg.Go(func() {
-			c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-			var at string
+			at, c := "", http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 			select {
 			case at = <-p.addr:
 				p.addr <- at
@@ -236,13 +247,7 @@
 		}
 	}
 	s.is(0)
-	select {
-	case <-s.all:
-	case <-time.After(6 * time.Second):
-		s.mu.Lock()
-		t.Errorf("%d of %d have heard 6 s after discovery was back", len(s.heard), n)
-		s.mu.Unlock()
-	}
+	s.tellsAll(t, "was back")
 	s.is(2 * time.Second)
 	for _, p := range all {
 		p.kill()
@@ -254,11 +259,5 @@
 		t.Errorf("%d of %d ready again before a discovery with too many callers", k, n)
 	}
 	s.is(0) // and it has room again
-	select {
-	case <-s.all:
-	case <-time.After(6 * time.Second):
-		s.mu.Lock()
-		t.Errorf("%d of %d have heard 6 s after discovery had room", len(s.heard), n)
-		s.mu.Unlock()
-	}
+	s.tellsAll(t, "had room")
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -237,6 +237,45 @@
 	}), in, release
 }
 
+// waiting is a request that waits for the one connection to its host, on which another is out.
+type waiting struct {
+	n             *Node
+	app           *app
+	first, second *caller
+	arrived       <-chan struct{}
+	release       chan struct{}
+}
+
+func newWaiting(t *testing.T, change func(*Settings)) *waiting {
+	t.Helper()
+	a, arrived, release := newHeldApp(t)
+	n, addr := start(t, a.targets(), change)
+	w := &waiting{n, a, dial(t, addr), dial(t, addr), arrived, release}
+	_, _ = io.WriteString(w.first, text("once", 9000))
+	<-arrived
+	n.post(func() { n.hosts[1].addr, n.hosts[1].dials = "127.0.0.1:1", 1 }) // a dial on its way that never ends
+	_, _ = io.WriteString(w.second, text("once", 9000))
+	until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+	return w
+}
+
+// free has the first request answered, and returns once the node has done with the connection that this frees.
+func (w *waiting) free() {
+	t := w.first.t
+	t.Helper()
+	go func() { // should the second come all the same
+		select {
+		case <-w.arrived:
+		case <-t.Context().Done():
+		}
+	}()
+	close(w.release)
+	if code, _, _ := w.first.answer(); code != 200 {
+		t.Error(code)
+	}
+	until(w.n, func() bool { return len(w.n.hosts[1].waiting) == 0 && len(w.n.hosts[1].idle) == 1 })
+}
+
 // caller is a client's connection.
 type caller struct {
 	t *testing.T
@@ -465,29 +504,13 @@
 // Nothing of a request goes out behind its answer. Guards: the module gave up on a request whose attempt waited for a
 // connection that came up late; the answer went out, and 60 ms later the request did (join+mass).
 func TestAnsweredRequestIsNotSentOn(t *testing.T) {
-	a, arrived, release := newHeldApp(t)
-	n, addr := start(t, []protocol.Target{target("a", a)}, nil)
-	first, second := dial(t, addr), dial(t, addr)
-	_, _ = io.WriteString(first, text("once", 9000))
-	<-arrived
-	n.post(func() { n.hosts[1].addr, n.hosts[1].dials = "127.0.0.1:1", 1 }) // a dial on its way that never ends
-	_, _ = io.WriteString(second, text("once", 9000))
-	until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+	w := newWaiting(t, nil)
+	n, a := w.n, w.app
 	on(n, func() { n.Fail(n.hosts[1].waiting[0].req.id) })
-	if code, _, _ := second.answer(); code != 504 {
-		t.Error(code)
-	}
-	go func() { // should one come all the same
-		select {
-		case <-arrived:
-		case <-t.Context().Done():
-		}
-	}()
-	close(release) // a connection is free
-	if code, _, _ := first.answer(); code != 200 {
+	if code, _, _ := w.second.answer(); code != 504 {
 		t.Error(code)
 	}
-	until(n, func() bool { return len(n.hosts[1].waiting) == 0 && len(n.hosts[1].idle) == 1 })
+	w.free()
 	on(n, func() {
 		if len(n.requests) > 0 {
 			t.Errorf("%d requests kept", len(n.requests))
@@ -1174,31 +1197,14 @@
 		"closes": {true, false}, "resets": {true, true}, "closes, nothing is cancelled": {false, false}, "resets, nothing is cancelled": {false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			a, arrived, release := newHeldApp(t)
-			n, addr := start(t, a.targets(), func(s *Settings) { s.Module.MayCancel = c.cancel })
-			first, second := dial(t, addr), dial(t, addr)
-			_, _ = io.WriteString(first, text("once", 9000))
-			<-arrived
-			n.post(func() { n.hosts[1].addr, n.hosts[1].dials = "127.0.0.1:1", 1 }) // a dial on its way that never ends
-			_, _ = io.WriteString(second, text("once", 9000))
-			until(n, func() bool { return len(n.hosts[1].waiting) == 1 })
+			w := newWaiting(t, func(s *Settings) { s.Module.MayCancel = c.cancel })
 			if c.reset {
-				_ = second.Conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = second.Close()
-			until(n, func() bool { return n.open == 1 })
-			go func() { // should one come all the same
-				select {
-				case <-arrived:
-				case <-t.Context().Done():
-				}
-			}()
-			close(release) // a connection is free
-			if code, _, _ := first.answer(); code != 200 {
-				t.Error(code)
+				_ = w.second.Conn.(*net.TCPConn).SetLinger(0)
 			}
-			until(n, func() bool { return len(n.hosts[1].waiting) == 0 && len(n.hosts[1].idle) == 1 })
-			if k := a.seen.Load(); k != 1 {
+			_ = w.second.Close()
+			until(w.n, func() bool { return w.n.open == 1 })
+			w.free()
+			if k := w.app.seen.Load(); k != 1 {
 				t.Errorf("%d requests sent on", k)
 			}
 		})
