--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -149,3 +151,36 @@
 		}
 	}
 }
+
+// A connection that is shut after a large request whose answer came early is back with the poller by then: what comes behind is read and
+// dropped there, too.
+func TestEarlyAnsweredUploadIsShut(t *testing.T) {
+	body := noiseOf(1, 4<<20)
+	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(503)
+	})
+	n, addr := start(t, a.targets(), nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, post("once", "Content-Length: "+strconv.Itoa(len(body))))
+	_, _ = conn.Write(body[:3<<20])
+	if code, _, _ := conn.answer(); code != 503 {
+		t.Fatal(code)
+	}
+	_, _ = conn.Write(body[3<<20:])
+	until(n, func() bool { return n.lingering.Len() == 1 || len(n.clients) == 0 })
+	_, _ = io.WriteString(conn, text("once", 9000))
+	dropped := 0
+	until(n, func() bool {
+		for c := range n.clients {
+			dropped = c.dropped
+		}
+		return dropped > 0 || len(n.clients) == 0
+	})
+	if dropped == 0 {
+		t.Error("closed in one step")
+	}
+	if b, err := conn.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("read %q, %v, want the end", b, err)
+	}
+}
