--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -425,10 +425,15 @@
 		turn time.Duration // a call that fails after so long has stood in line
 		fail func(http.ResponseWriter)
 	}{
-		"failed": {time.Hour, func(w http.ResponseWriter) { w.WriteHeader(503) }},
-		"busy":   {0, func(w http.ResponseWriter) { w.WriteHeader(503) }},
+		"failed":          {time.Hour, func(w http.ResponseWriter) { w.WriteHeader(503) }},
+		"busy":            {0, func(w http.ResponseWriter) { w.WriteHeader(503) }},
+		"failed, no list": {0, func(w http.ResponseWriter) { fmt.Fprint(w, `{"rev":`) }}, // it answers, only not soundly
 	} {
+		name, noList := strings.CutSuffix(name, ", no list")
 		for _, reset := range []bool{false, true} {
+			if noList && reset {
+				continue
+			}
 			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if !reset {
 					c.fail(w)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -42,6 +42,9 @@
 // errBusy is a call that waited for its turn, and was refused or reset.
 var errBusy = errors.New("too many callers")
 
+// errBadList is an answer that is no sound list, whenever it came.
+var errBadList = errors.New("bad list")
+
 // how tells the module what a failed call says of discovery.
 func how(err error) tulipglade.ListKind {
 	switch {
@@ -180,7 +183,7 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		if err != nil && !errors.Is(err, errSilent) && wait == 0 && time.Since(began) >= w.turn {
+		if err != nil && !errors.Is(err, errSilent) && !errors.Is(err, errBadList) && wait == 0 && time.Since(began) >= w.turn {
 			err = fmt.Errorf("%w: %w", errBusy, err)
 		}
 		if err == nil && l.All && !slices.ContainsFunc(l.Targets, func(t protocol.Target) bool { return t.State != protocol.Terminated }) {
@@ -283,7 +286,10 @@
 	if !keep {
 		c.close()
 	}
-	return protocol.ParseList(body)
+	if l, err = protocol.ParseList(body); err != nil {
+		err = fmt.Errorf("%w: %w", errBadList, err)
+	}
+	return l, err
 }
 
 // dial opens the connection. One that comes up after discovery has moved is closed.
