--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1446,3 +1446,18 @@
 		t.Errorf("slots %v, want %v for the new tenant", h.slots, want)
 	}
 }
+
+// A client that leaves while its request is held: nothing is tried for it, whatever room there is later.
+func TestHeldRequestOfWhoLeftIsNeverTried(t *testing.T) {
+	g := start(t, settings())
+	g.request(1, 0, 0)
+	if len(g.tries[1]) != 0 || !g.b.holding() {
+		t.Fatal("not held")
+	}
+	g.b.Gone(g.now, 1)
+	g.b.Members(g.now, ListFull, hosts(2))
+	g.run(400 * ms)
+	if len(g.tries[1]) != 0 {
+		t.Errorf("tried %d times", len(g.tries[1]))
+	}
+}
