--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -275,3 +275,20 @@
 	}
 	<-all
 }
+
+// Whoever can see that an operator has asked finds that said to Run's goroutine, too: in between, it would go on with what clients cause.
+func TestAskedIsUrgentAtOnce(t *testing.T) {
+	n := &Node{wake: make(chan struct{}, 1)}
+	for range 5000 {
+		go n.ask(func() {})
+		for seen := false; !seen; {
+			n.mu.Lock()
+			if seen = len(n.asked) > 0; seen && !n.urgent.Load() {
+				n.mu.Unlock()
+				t.Fatal("asked, and not urgent")
+			}
+			n.mu.Unlock()
+		}
+		n.answerAsked()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,8 +153,8 @@
 func (n *Node) ask(f func()) {
 	n.mu.Lock()
 	n.asked = append(n.asked, f)
+	n.urgent.Store(true) // before anybody can see that it was asked: what Run's goroutine does next is to look
 	n.mu.Unlock()
-	n.urgent.Store(true)
 	select {
 	case n.wake <- struct{}{}:
 	default:
