Take SIGHUP in from the first moment of the program

Audit of hand-overs and reloads: a SIGHUP crosses a start. Serve asked for the signal (daemon.go, Serve) after the configuration had been read and checked; until then SIGHUP has its default action and ends the process: a crash, where a platform tells all processes of a new configuration while it restarts some.

Hangups takes it in as the program's variables are set up, before the configuration is read; one that comes in between has the file read once more.

What the runtime does before that is not ours to cover.

--- a/cmd/tulipglade/main.go
+++ b/cmd/tulipglade/main.go
@@ -15,6 +15,10 @@
 	"tulipglade/internal/daemon"
 )
 
+// hangups is there from the first moment that a program has: a platform that changes the configuration sends SIGHUP to all processes,
+// also to one that it has just started.
+var hangups = daemon.Hangups()
+
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "tulipglade:", err)
@@ -44,7 +48,7 @@
 	}
 	out := daemon.NewLogWriter(os.Stderr)
 	defer out.Flush(time.Second)
-	return daemon.Serve(ctx, c, load, slog.New(slog.NewTextHandler(out, nil)))
+	return daemon.Serve(ctx, c, load, hangups, slog.New(slog.NewTextHandler(out, nil)))
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,14 +93,19 @@
 	return fields
 }
 
+// Hangups takes SIGHUP in from here on; before that, one ends the process. A program calls it before it reads its configuration: a
+// SIGHUP that crosses its start stands for a file that is newer than the one it may have read.
+func Hangups() <-chan os.Signal {
+	hup := make(chan os.Signal, 1) // one that waits stands for all behind it: the file is read after them
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
 // Serve runs a node until ctx ends or a signal to stop comes, and returns once all that was taken has been
-// answered. At SIGHUP it takes up the configuration that load returns then; see reload.
-func Serve(ctx context.Context, c *Config, load func() (*Config, error), log *slog.Logger) error {
+// answered. At each of hup it takes up the configuration that load returns then; see reload.
+func Serve(ctx context.Context, c *Config, load func() (*Config, error), hup <-chan os.Signal, log *slog.Logger) error {
 	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer release()
-	hup := make(chan os.Signal, 1) // one that waits stands for all behind it: the file is read after them
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	set := c.Node
 	var err error
 	if set.Sockets, err = limit(c, log); err != nil {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -519,10 +519,10 @@
 		t.Fatal(err)
 	}
 	files := make(chan string, 3)
-	out, ended := make(lines, 100), make(chan error, 1)
+	out, ended, hup := make(lines, 100), make(chan error, 1), Hangups()
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
-		ended <- Serve(ctx, c, func() (*Config, error) { return parse(<-files) }, slog.New(slog.NewTextHandler(out, nil)))
+		ended <- Serve(ctx, c, func() (*Config, error) { return parse(<-files) }, hup, slog.New(slog.NewTextHandler(out, nil)))
 	}()
 	await := func(says string) string {
 		t.Helper()
@@ -593,7 +593,7 @@
 	}
 	c.Operator = "127.0.0.1:0"
 	out, ended := make(lines, 100), make(chan error, 1)
-	go func() { ended <- Serve(context.Background(), c, nil, slog.New(slog.NewTextHandler(out, nil))) }()
+	go func() { ended <- Serve(context.Background(), c, nil, nil, slog.New(slog.NewTextHandler(out, nil))) }()
 	addr, operator := "", ""
 	for line := range out {
 		if _, after, ok := strings.Cut(line, "msg=serving"); ok {
@@ -635,7 +635,7 @@
 	}
 	defer busy.Close()
 	c.Listen, c.Operator = busy.Addr().String(), ""
-	if err := Serve(context.Background(), c, nil, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "listen") {
+	if err := Serve(context.Background(), c, nil, nil, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "listen") {
 		t.Errorf("an address in use: %v", err)
 	}
 }
@@ -717,7 +717,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	out, ended := make(lines, 100), make(chan error, 1)
-	go func() { ended <- Serve(ctx, c, nil, slog.New(slog.NewTextHandler(out, nil))) }()
+	go func() { ended <- Serve(ctx, c, nil, nil, slog.New(slog.NewTextHandler(out, nil))) }()
 	for line := range out {
 		if strings.Contains(line, "msg=backends rev=9000") {
 			break
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p = &process{stop: cancel, ended: make(chan error, 1), out: make(lines, 200)}
-	go func() { p.ended <- Serve(ctx, c, nil, slog.New(slog.NewTextHandler(p.out, nil))) }()
+	go func() { p.ended <- Serve(ctx, c, nil, nil, slog.New(slog.NewTextHandler(p.out, nil))) }()
 	line := p.await(t, "msg=serving")
 	field := func(name string) string {
 		_, after, _ := strings.Cut(line, name+"=")
@@ -185,7 +185,7 @@
 		t.Fatal(err)
 	}
 	out := make(lines, 100)
-	if err := Serve(context.Background(), c, nil, slog.New(slog.NewTextHandler(out, nil))); err == nil {
+	if err := Serve(context.Background(), c, nil, nil, slog.New(slog.NewTextHandler(out, nil))); err == nil {
 		t.Error("it has started")
 	}
 	if line := (&process{out: out}).await(t, "taken over"); !strings.Contains(line, "rev=41 backends=1") {
