End a stop before the process can be killed, and shut every connection before it ends

Two crossings:

A request that comes over 0.7 s after SIGTERM must have its answer before SIGKILL (protocol, figures), which comes no sooner than the longest deadline, 3 s at most, and 0.7 s after SIGTERM. drain.go took the larger of the two for that (drainUnread, longest), and admit let such a request have its whole deadline: with hosts that hang it was still open at SIGKILL. Where deadlines are short (0.39 s: SIGKILL after 1.09 s) the wait for what comes in, 2 s, and for last answers, 3.2 s, went past it, too. All times of a stop follow from that moment now, and answerBy bounds the deadline of what comes so late.

The process ended as soon as all was answered (checkDrained), also with connections open that had asked nothing yet, or had sent a part of a request: what their clients wrote in that moment was reset. Now all is answered, then every connection is shut, new ones as they come, then their clients have seen that; a connection that came just now is waited for as one with a part of a request is.

With its guard out each test fails: TestStopShutsEveryConnection without shutClients, and without the look in opened; TestStopEndsBeforeItIsKilled with the larger of the two; TestRequestLateInAStopHasItsAnswerInTime without answerBy. One test sets drain.end where it set drain.unread, which it replaces.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -131,7 +131,9 @@
 		c.close()
 		return
 	}
-	c.setIdle(true)
+	if c.setIdle(true); c.n.drain.ending {
+		c.shut()
+	}
 }
 
 // setIdle keeps the lists of connections that hold no request: those that have never asked, and the others.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -19,9 +19,15 @@
 	drainEvery = 100_000
 	// drainPartly bounds the wait, at a stop, for requests that are still coming in.
 	drainPartly = 2_000_000
-	// drainUnread bounds the wait for connections that have been shut: the process that ends resets them. The longest deadline and 0.2 s are
-	// as good where that is more: SIGKILL comes 0.7 s after either.
-	drainUnread = 3_200_000
+)
+
+// A process that has been told to end is killed no sooner than the longest deadline, 3 s at most, and 0.7 s later (protocol, figures). What came
+// in those 0.7 s may be open then; what came later must have its answer.
+const (
+	killDeadline = 3_000_000
+	killGrace    = 700_000
+	killSpare    = 100_000 // for the last answers' way out
+	killShut     = 300_000 // so long before it, connections are shut that still hold a part of a request
 )
 
 // drain is where a node stands on its way out of service.
@@ -31,8 +37,10 @@
 	stopping bool  // the process ends; otherwise it is a standby
 	since    int64 // when it began
 	turn     int   // counts drains: the timers of an earlier one do nothing
+	told     int64 // when the process was told to end
 	partly   int64 // until when a stop waits for what is coming in
-	unread   int64 // until when it waits for last answers to be read
+	end      int64 // by when all must have been answered, and last answers been read
+	ending   bool  // all has been answered, and nobody is heard any more
 	drained  func()
 }
 
@@ -90,8 +98,9 @@
 		n.leave("draining")
 		n.drain.stopping = true
 		now := n.now()
-		n.drain.partly = now + drainPartly
-		n.drain.unread = now + max(drainUnread, n.longest()+200_000)
+		killed := now + min(n.longest(), killDeadline) + killGrace
+		n.drain.told, n.drain.end = now, killed-killSpare
+		n.drain.partly = min(now+drainPartly, killed-killShut)
 		n.at(max(now+grace.Microseconds(), n.drain.since+drainCloses), func() { n.drain.drained = done })
 	})
 }
@@ -113,7 +122,7 @@
 		return
 	}
 	now := n.now()
-	n.drain.late = now-n.drain.since >= drainRefuses
+	n.drain.late = now-n.drain.since >= drainRefuses || n.drain.stopping && now >= n.drain.partly
 	n.closeIdleClients()
 	n.at(now+drainEvery, func() { n.sendAway(turn) })
 }
@@ -125,17 +134,25 @@
 		for e := l.Front(); e != nil; {
 			c := e.Value.(*client)
 			e = e.Next()
-			fresh := !c.asked && n.now()-c.since < drainCloses && !n.drain.late
-			if !fresh && c.in == nil && c.unread() == 0 && c.clean() {
+			if (!c.isFresh() || n.drain.late) && c.in == nil && c.unread() == 0 && c.clean() {
 				c.shut()
 			}
 		}
 	}
 }
 
+// checkDrained ends a stop in this order: all is answered; every connection is shut, also such as have just come; their clients have seen
+// that, and closed. What crosses this is never read, and its client sees an end in order: a process that ends would reset it.
 func (n *Node) checkDrained() {
-	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || n.now() < n.drain.partly && n.comingIn() ||
-		n.now() < n.drain.unread && n.lingering.Len() > 0 {
+	now := n.now()
+	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || now < n.drain.partly && n.comingIn() {
+		return
+	}
+	if !n.drain.ending {
+		n.drain.ending = true
+		n.shutClients()
+	}
+	if now < n.drain.end && n.lingering.Len() > 0 {
 		return
 	}
 	done := n.drain.drained
@@ -143,6 +160,24 @@
 	done()
 }
 
+// shutClients shuts all connections but those on which something is on its way still.
+func (n *Node) shutClients() {
+	for c := range n.clients {
+		if !c.writing && c.upload == nil {
+			c.shut()
+		}
+	}
+}
+
+// answerBy is by when a request whose last byte came at a time must have its answer: by its deadline, and in a stop before the process is
+// killed.
+func (n *Node) answerBy(at, deadline int64) int64 {
+	if n.drain.stopping && at >= n.drain.told+killGrace {
+		return min(deadline, n.drain.end)
+	}
+	return deadline
+}
+
 // longest is the longest deadline there is.
 func (n *Node) longest() (most int64) {
 	for i := range n.set.Module.Classes {
@@ -151,12 +186,15 @@
 	return most
 }
 
-// comingIn tells whether a part of a request has come from a client.
+// comingIn tells whether a part of a request has come from a client, or is about to.
 func (n *Node) comingIn() bool {
 	for c := range n.clients {
-		if !c.lingering && (c.in != nil || c.unread() > 0) {
+		if !c.lingering && (c.in != nil || c.unread() > 0 || c.upload != nil || c.isFresh()) {
 			return true
 		}
 	}
 	return false
 }
+
+// isFresh tells that a connection has come just now and has not asked yet.
+func (c *client) isFresh() bool { return !c.asked && c.n.now()-c.since < drainCloses }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -89,7 +89,8 @@
 		return nil, 503, "too many open requests"
 	}
 	n.lastID++
-	return &request{id: n.lastID, set: n.set, msg: msg, buf: buf, class: class, tenant: tenant, deadline: at + wait}, 0, ""
+	return &request{id: n.lastID, set: n.set, msg: msg, buf: buf, class: class, tenant: tenant,
+		deadline: n.answerBy(at, at+wait)}, 0, ""
 }
 
 // maxIDs bounds the ids that are remembered.
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -114,7 +114,7 @@
 	on(n, func() {
 		n.leave("draining")
 		n.idleClients.Front().Value.(*client).shut()
-		n.drain.unread = n.now() + 3_600_000_000
+		n.drain.end = n.now() + 3_600_000_000
 		n.drain.drained = func() { close(ended) }
 		n.checkDrained()
 		if n.drain.drained == nil {
@@ -184,3 +184,106 @@
 		t.Errorf("read %q, %v, want the end", b, err)
 	}
 }
+
+// The end of a process is told to every client before it comes: to one that has asked nothing yet, to one that has sent a part of a request, to
+// one that comes in that moment. None of them is reset, and nothing that crosses this is taken.
+func TestStopShutsEveryConnection(t *testing.T) {
+	app := newApp(t, serve)
+	n, addr := start(t, app.targets(), nil)
+	silent, part := dial(t, addr), dial(t, addr)
+	_, _ = io.WriteString(part, text("once", 9000)[:30])
+	until(n, func() bool { return len(n.clients) == 2 && n.comingIn() })
+	ended := make(chan struct{})
+	n.Drain(0, func() { close(ended) })
+	age(n, drainCloses)
+	on(n, func() {
+		for c := range n.clients { // they have come long ago
+			c.since -= drainCloses
+		}
+		n.drain.partly, n.drain.end = 0, n.now()+3_600_000_000
+	})
+	until(n, func() bool { return n.drain.ending })
+	on(n, func() { n.drain.turn++ }) // nothing that is looked at now and then comes to the help
+	late := dial(t, addr)
+	for name, conn := range map[string]*caller{"silent": silent, "part of a request": part, "late": late} {
+		if b, err := conn.r.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Fatalf("%s: read %q, %v, want the end", name, b, err)
+		}
+		_, _ = io.WriteString(conn, text("once", 9000))
+	}
+	until(n, func() bool {
+		for c := range n.clients {
+			if c.dropped == 0 && n.drain.drained != nil {
+				return false
+			}
+		}
+		return len(n.clients) == 3 || n.drain.drained == nil
+	})
+	on(n, func() {
+		if n.open > 0 || app.seen.Load() > 0 || n.drain.drained == nil {
+			t.Errorf("%d requests taken, ended %v, with %d connections", n.open, n.drain.drained == nil, len(n.clients))
+		}
+	})
+	for _, conn := range []*caller{silent, part, late} {
+		_ = conn.Close()
+	}
+	<-ended
+}
+
+// How long a stop may take follows from the longest deadline there is, 3 s at most: 0.7 s after that the process may be killed.
+func TestStopEndsBeforeItIsKilled(t *testing.T) {
+	for name, test := range map[string]struct{ deadline, killed int64 }{
+		"short deadlines": {390_000, 1_090_000},
+		"long deadlines":  {10_000_000, 3_700_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := start(t, nil, func(s *Settings) {
+				for i := range s.Module.Classes {
+					s.Module.Classes[i].Deadline, s.Module.Classes[i].Aim = test.deadline, test.deadline
+				}
+			})
+			ended := make(chan struct{})
+			n.Drain(0, func() { close(ended) })
+			on(n, func() {
+				if end, partly := n.drain.end-n.drain.told, n.drain.partly-n.drain.told; end != test.killed-killSpare || partly > test.killed-killShut {
+					t.Errorf("ends %d us after the word, waits %d us for what comes in", end, partly)
+				}
+			})
+			<-ended
+		})
+	}
+}
+
+// A request that comes long after the word to end, on a connection that stayed open, has its answer before the process can be killed, whatever
+// its client and its host would grant: who came in the first 0.7 s may be cut off, no other.
+func TestRequestLateInAStopHasItsAnswerInTime(t *testing.T) {
+	for name, after := range map[string]int64{"late": killGrace, "in time": 0} {
+		t.Run(name, func(t *testing.T) {
+			app := newByHand(t, 0)
+			n, addr := start(t, app.targets(), nil)
+			conn := dial(t, addr)
+			request := text("read", 9000)
+			_, _ = io.WriteString(conn, request[:30])
+			until(n, func() bool { return n.comingIn() })
+			ended := make(chan struct{})
+			n.Drain(0, func() { close(ended) })
+			on(n, func() { n.drain.told, n.drain.end = n.now()-after, n.now()+2_000_000 })
+			_, _ = io.WriteString(conn, request[30:])
+			host, _ := app.take()
+			on(n, func() {
+				for _, r := range n.requests {
+					if capped := r.deadline == n.drain.end; capped != (after > 0) {
+						t.Errorf("has until %d us from the end", r.deadline-n.drain.end)
+					}
+				}
+			})
+			if after == 0 {
+				ok(host, "served")
+			} // else the host never answers
+			if code, _, closing := conn.answer(); (code == 200) != (after == 0) || !closing {
+				t.Errorf("%d, closing %v", code, closing)
+			}
+			<-ended
+		})
+	}
+}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -135,7 +135,7 @@
 	if err == nil && a != nil && !a.over {
 		now := n.now()
 		r := a.req
-		r.deadline = now + r.wait
+		r.deadline = n.answerBy(now, now+r.wait)
 		a.sent, a.till = now, r.deadline
 		n.at(a.till, func() { n.late(a) })
 		n.bal.Loading(now, r.id, false)
