Count the descriptor of a host that speaks first back once

Audit of idle connections: bytes of a host cross the coming up of its connection. receive finds a connection that carries nothing and closes it (pool.go); dialled, posted behind that, found it inactive and counted its descriptor back a second time. Each time the node believed that it held one fewer than it did, and so in the end would not make room before the system refused it.

dialled counts back only what is not closed yet; a host that does so costs who waits for it one failed connect, as before.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -251,18 +251,23 @@
 	go func() {
 		conn, err := netpoll.DialConnection("tcp", addr, within)
 		if err == nil {
-			b.conn = conn
-			_ = conn.SetWriteTimeout(writeTimeout)
-			if c, ok := conn.(interface{ Fd() int }); ok {
-				_ = boundReceive(uintptr(c.Fd()))
-			}
-			b.onClose(func() { n.post(b.gone) })
-			err = conn.SetOnRequest(b.input)
+			err = b.take(conn)
 		}
 		n.post(func() { n.dialled(b, err) })
 	}()
 }
 
+// take takes up a connection that has come up. From here on what the host sends goes to Run's goroutine, which has not heard of it yet.
+func (b *backend) take(conn netpoll.Connection) error {
+	b.conn = conn
+	_ = conn.SetWriteTimeout(writeTimeout)
+	if c, ok := conn.(interface{ Fd() int }); ok {
+		_ = boundReceive(uintptr(c.Fd()))
+	}
+	b.onClose(func() { b.n.post(b.gone) })
+	return conn.SetOnRequest(b.input)
+}
+
 // input hands on what the poller has read.
 func (b *backend) input(_ context.Context, conn netpoll.Connection) error {
 	return b.hand(conn, b.n, b.receive)
@@ -274,8 +279,10 @@
 	h.dials--
 	b.up = true
 	if err != nil || !b.conn.IsActive() {
-		b.closed = true
-		n.descriptors--
+		if !b.closed { // else its host spoke before it was asked, and receive has closed it
+			b.closed = true
+			n.descriptors--
+		}
 		if b.conn != nil {
 			_ = b.conn.Close()
 		}
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cloudwego/netpoll"
 )
 
 // narrow is a client that takes in little before it reads.
@@ -287,3 +289,42 @@
 		})
 	}
 }
+
+// A host that speaks as its connection comes up, before Run's goroutine has heard of that: the connection closes, and its descriptor counts back
+// once. Counted back twice, the node would believe that it holds fewer than it does, until the system gives it no more.
+func TestHostThatSpeaksFirst(t *testing.T) {
+	app := newByHand(t, 0)
+	n, addr := start(t, app.targets(), nil)
+	b := &backend{n: n}
+	on(n, func() { // as dial does
+		b.host, b.life = n.hosts[1], n.hosts[1].life
+		b.host.dials++
+		n.descriptors++
+	})
+	conn, err := netpoll.DialConnection("tcp", app.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.take(conn); err != nil {
+		t.Fatal(err)
+	}
+	host, err := app.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = host.Close() }()
+	_, _ = io.WriteString(host, "HTTP/1.1 2")
+	until(n, func() bool { return b.closed })
+	on(n, func() {
+		if n.dialled(b, nil); n.descriptors != 0 || b.host.dials != 0 {
+			t.Errorf("%d descriptors, %d connections on their way", n.descriptors, b.host.dials)
+		}
+	})
+	client := dial(t, addr)
+	_, _ = io.WriteString(client, text("read", 9000))
+	next, _ := app.take()
+	ok(next, "served")
+	if code, body, _ := client.answer(); code != 200 || body != "served" {
+		t.Errorf("the next request: %d %q", code, body)
+	}
+}
