Take up a new time for drains where lists are pushed

Audit of list watches: how long calls to an agent may take was set at the start from rules.drain_grace_us (watch.go, pushed) and stayed so at SIGHUP.

TestReloadedGraceIsHeeded: without the line in reload 'the agent is not asked to wait for 150 ms'.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,9 @@
 	running.Node.Seed, running.Node.Sockets, running.Node.Memory = old.Node.Seed, old.Node.Sockets, old.Node.Memory
 	running.Node.Zones, running.Node.Module.Zone = old.Node.Zones, old.Node.Module.Zone
 	running.Node.Module.AskDiscovery = old.Node.Module.AskDiscovery
+	if !running.Node.Module.AskDiscovery {
+		w.heed(running.Grace)
+	}
 	if !reflect.DeepEqual(old.Node, running.Node) {
 		n.Retune(running.Node)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -728,3 +728,44 @@
 		t.Error(err)
 	}
 }
+
+// Where lists are pushed, how often the agent is asked follows from the time in which a drain must be heeded, also from one that SIGHUP brings.
+func TestReloadedGraceIsHeeded(t *testing.T) {
+	waits := make(chan string, 100)
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case waits <- r.URL.Query().Get("timeout_ms"):
+		default:
+		}
+		fmt.Fprint(w, `{"rev":9000,"all":false,"targets":[]}`)
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	parse := func(grace string) (*Config, error) {
+		return Parse([]byte(strings.NewReplacer(`"ask"`, `"push"`, "127.0.0.1:8500", agent.Listener.Addr().String(),
+			`"grace_to_answer_us":20000`, `"grace_to_answer_us":20000,"drain_grace_us":`+grace).Replace(good)), func(string) string { return "" })
+	}
+	c, err := parse("2000000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended, hup := make(chan error, 1), make(chan os.Signal, 1)
+	go func() {
+		ended <- Serve(ctx, c, func() (*Config, error) { return parse("600000") }, hup, slog.New(slog.DiscardHandler))
+	}()
+	for _, want := range []string{"500", "150"} { // a quarter, in milliseconds
+		for end, got := time.After(10*time.Second), ""; got != want; {
+			select {
+			case got = <-waits:
+			case <-end:
+				t.Fatalf("the agent is not asked to wait for %s ms", want)
+			}
+		}
+		hup <- syscall.SIGHUP
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -90,14 +90,21 @@
 // What the agent has counts as told, so the watch does not wait for the module to ask again, and a call that the agent
 // does not answer is given up well within the time in which a drain must be heeded, in microseconds.
 func (w *watch) pushed(grace int64, lost func(error)) {
-	quarter := time.Duration(grace) * time.Microsecond / 4
-	w.wait = min(max(quarter, w.pause), w.wait)
-	w.slack = min(max(quarter, w.pause), w.slack)
-	w.over, w.vary = w.slack, 0 // the agent is on this machine, and nobody else's
-	w.lost = lost
+	w.vary, w.lost = 0, lost // the agent is on this machine, and nobody else's
+	w.heed(grace)
 	w.Observe(true)
 }
 
+// heed sets how long calls to an agent may take, from the next one on, where a drain must be heeded within grace, in microseconds.
+func (w *watch) heed(grace int64) {
+	quarter := time.Duration(grace) * time.Microsecond / 4
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wait = min(max(quarter, w.pause), watchWait)
+	w.slack = min(max(quarter, w.pause), callSlack)
+	w.over = w.slack
+}
+
 // Observe begins to watch, or ends that once the call at hand has come back.
 func (w *watch) Observe(on bool) {
 	w.mu.Lock()
@@ -165,18 +172,19 @@
 			c.close()
 			c, wait = newCall(w.addr, w.moved), 0
 		}
-		rev, whole := w.rev, w.whole
+		rev, whole, slack, over, longest := w.rev, w.whole, w.slack, w.over, w.wait
 		// A discovery that answers or fails at once must not be called in a tight loop, whoever asks for that.
 		pause := w.pause - time.Since(w.began)
 		w.began = time.Now().Add(max(pause, 0))
 		w.mu.Unlock()
 		time.Sleep(pause)
-		request, slack := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds()), w.over
+		wait = min(wait, longest)
+		request := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds())
 		if whole {
 			request, wait = protocol.AppendListRequest(nil, c.addr), 0
 		}
-		if wait == 0 {
-			slack = w.slack
+		if wait > 0 {
+			slack = over
 		}
 		began := time.Now()
 		l, err := c.do(request, wait+slack)
@@ -210,7 +218,7 @@
 		if err != nil {
 			return
 		}
-		wait = w.wait - rand.N(w.vary+1)
+		wait = longest - rand.N(w.vary+1)
 	}
 }
 
