Count a request's time from its own last byte where it stands behind another

Audit of retries: a deadline crosses the answer before. admit got the moment in which a request's turn came (client.go, reply: advance(now)), so one that had come with, or behind, another had as much longer as it had stood there: its host was told more time than its client had left, and its answer could come later than half a second past that, which is a lost request. Clients of this protocol send one at a time; some do not, and nothing forbids it.

Each connection notes when its bytes came while a request is open, in steps of 10 ms, and a request counts from the one of its last byte.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,7 +37,9 @@
 	idleIn    *list.List // fresh, idleClients or lingering
 	more      [][]byte   // came behind what c.in has room for
 	moreSize  int
-	cut       bool     // some of what came was dropped: nothing behind it can be read
+	cut       bool // some of what came was dropped: nothing behind it can be read
+	came      int  // bytes that have come and were kept
+	arrivals  []arrival
 	upload    *upload  // the request that is coming in is too large to be held
 	down      *backend // it passes on an answer too large to be held
 	old       bool     // its request came as HTTP/1.0
@@ -47,6 +50,15 @@
 	idleSince int64
 }
 
+// arrival is when the bytes of a connection up to a place had come, for what still waits for the answer before it.
+type arrival struct {
+	upTo int
+	at   int64
+}
+
+// arrivalsApart bounds how many of these there are, in microseconds: what comes sooner behind another counts as come with it.
+const arrivalsApart = 10_000
+
 // How long clients may hold on to what they do not use, in microseconds. Whoever cannot or will not ask is due an
 // error or a close within 3 s of connecting; a sweep comes on top of these times.
 const (
@@ -231,10 +243,12 @@
 		c.upload.early = earlyData(c.upload.early, b.bytes())
 		return
 	}
-	if c.cut || len(c.more) > 0 {
-		if !c.cut {
-			c.keep(b.bytes())
-		}
+	if c.cut {
+		return
+	}
+	c.arrived(b.n, at)
+	if len(c.more) > 0 {
+		c.keep(b.bytes())
 		return
 	}
 	if c.in == nil {
@@ -272,12 +286,37 @@
 func (c *client) keep(p []byte) {
 	if c.moreSize+len(p) > moreMost || c.n.kept+len(p) > keptMost {
 		c.last, c.cut = true, true
+		c.came -= len(p)
 		return
 	}
 	c.more = earlyData(c.more, p)
 	c.keeps(c.moreSize + len(p))
 }
 
+// arrived notes when so many bytes have come.
+func (c *client) arrived(n int, at int64) {
+	c.came += n
+	if c.req == nil && !c.writing { // every whole request of before has been read
+		c.arrivals = c.arrivals[:0]
+	}
+	if k := len(c.arrivals) - 1; k >= 0 && at-c.arrivals[k].at < arrivalsApart {
+		c.arrivals[k].upTo = c.came
+		return
+	}
+	c.arrivals = append(c.arrivals, arrival{c.came, at})
+}
+
+// cameAt is when the last byte before so many others had come: a request's time counts from its own last byte, also where it has stood behind
+// another.
+func (c *client) cameAt(behind int) (at int64) {
+	k := slices.IndexFunc(c.arrivals, func(a arrival) bool { return a.upTo >= c.came-behind })
+	if k < 0 {
+		return c.n.now()
+	}
+	c.arrivals = c.arrivals[k:]
+	return c.arrivals[0].at
+}
+
 // keeps notes how much that is.
 func (c *client) keeps(size int) {
 	c.n.kept += size - c.moreSize
@@ -354,7 +393,9 @@
 func (c *client) request(at int64) {
 	buf := c.in
 	c.in = nil
-	if rest := c.msg.Rest(buf.bytes()); len(rest) > 0 {
+	rest := c.msg.Rest(buf.bytes())
+	came := c.cameAt(len(rest) + c.moreSize)
+	if len(rest) > 0 {
 		c.in = newBuffer()
 		c.begins(at)
 		c.in.add(rest)
@@ -378,7 +419,7 @@
 		c.reply(buf, 503, nil, []byte("not in service\n"), 0)
 		return
 	}
-	r, status, why := c.n.admit(&msg, buf, at)
+	r, status, why := c.n.admit(&msg, buf, came)
 	if r == nil {
 		// A client that asks for what it must not have loses its connection. (And what answers a HEAD has no body:
 		// ours would be read as the next answer.)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1361,3 +1361,51 @@
 	n.Retune(again)
 	ask()
 }
+
+// A request that has stood behind another has waited since its own last byte came, not since the answer to the one before: what its host is told,
+// and when it is given up, count from there. One that came later has longer.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	app := newByHand(t, 0)
+	n, addr := start(t, app.targets(), nil)
+	client := dial(t, addr)
+	var began, deadlines [4]int64
+	later := func(since int64) { until(n, func() bool { return n.now() > since+2*arrivalsApart }) }
+	took := func(k int) {
+		for _, r := range n.requests {
+			if !r.done {
+				deadlines[k] = r.deadline
+			}
+		}
+	}
+	_, _ = io.WriteString(client, text("once", 9000)+text("read", 9000)+text("once", 9000)[:40]) // the third is not whole yet
+	host, in := app.take()
+	on(n, func() { began[0] = n.now(); took(0) })
+	later(began[0])
+	rest := text("once", 9000)
+	_, _ = io.WriteString(client, rest[40:]+text("read", 9000))
+	until(n, func() bool {
+		for c := range n.clients {
+			return len(c.arrivals) == 2
+		}
+		return false
+	})
+	on(n, func() { began[2] = n.now() })
+	later(began[2])
+	for k := range deadlines {
+		if k > 0 {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			on(n, func() { took(k) })
+		}
+		ok(host, "served")
+		if code, _, _ := client.answer(); code != 200 {
+			t.Fatalf("request %d: %d", k, code)
+		}
+	}
+	if deadlines[1] != deadlines[0] || deadlines[2] != deadlines[3] || deadlines[2] < deadlines[1]+arrivalsApart || deadlines[3] > began[2]+9_000_000 {
+		t.Errorf("deadlines %v, two pieces came by %d and %d", deadlines, began[0], began[2])
+	}
+}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -190,10 +190,12 @@
 	if !c.comeBack() {
 		return
 	}
+	c.came, c.arrivals = 0, nil
 	if len(rest) > 0 {
 		c.in = newBuffer()
 		c.begins(c.n.now())
 		c.in.add(rest)
+		c.arrived(len(rest), c.n.now())
 	}
 	if c.req == nil {
 		c.setIdle(true)
