Look at the client's connection before an attempt's first byte

Audit of retries: the client gone crosses the first byte. Whether a client had left was known by an event alone (client.go, gone), which stands behind all that the loop has to do: a request that was read as its client left, or an attempt whose connection came up, began in between, and with a loop that is late, more than 0.1 s after the close.

Try and mayBegin look at the client's connection itself, by poll(2) as for ends (left, hasEnded): if the other side has closed it, the attempt is Moot and the request over. One system call for each attempt. Where somebody writes to it, or a large request is on its way in, it is they who find out, as before.

TestClientGoneBeforeItsRequestIsHeard: the loop is held as the client writes and leaves; and as it leaves while an attempt waits.

--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -208,6 +208,16 @@
 	return s.conn.IsActive() && s.unread() == 0
 }
 
+// hasEnded tells whether the other side has closed the connection or reset it, also where the poller has not seen that yet. Where somebody is
+// writing, or reads beside the poller, it is they who find out.
+func (s *socket) hasEnded() bool {
+	if s.file != nil || !s.mu.TryLock() {
+		return false
+	}
+	defer s.mu.Unlock()
+	return s.ended || !s.conn.IsActive() || stands(s.conn) != peerOpen
+}
+
 // write writes parts to a connection beside Run's goroutine, which then calls done. A connection has one write
 // at a time. Parts must stay as they are until then.
 func (n *Node) write(s *socket, done func(error), parts ...[]byte) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -1211,6 +1212,61 @@
 	}
 }
 
+// endings stand between a node and its module, and note how attempts end.
+type endings struct {
+	module
+	outcomes []tulipglade.Outcome
+}
+
+func (e *endings) Settled(now tulipglade.Time, s tulipglade.Settlement) {
+	e.outcomes = append(e.outcomes, s.Outcome)
+	e.module.Settled(now, s)
+}
+
+// A client may be gone before Run's goroutine hears of its request, or of the connection that its request waits for, and word of that stands
+// behind these: nothing of it begins.
+func TestClientGoneBeforeItsRequestIsHeard(t *testing.T) {
+	t.Run("no attempt yet", func(t *testing.T) {
+		app := newApp(t, serve)
+		n, addr := start(t, app.targets(), nil)
+		conn := dial(t, addr)
+		conn.ask(text("read", 9000))
+		until(n, func() bool { return n.idleBackends.Len() == 1 }) // so that nothing is waited for
+		ends := &endings{}
+		on(n, func() { ends.module, n.bal = n.bal, ends })
+		busy, free := make(chan struct{}), make(chan struct{})
+		n.post(func() { close(busy); <-free })
+		<-busy
+		_, _ = io.WriteString(conn, text("once", 9000))
+		behindOf(n, 1)
+		_ = conn.Close()
+		behindOf(n, 2)
+		close(free)
+		until(n, func() bool { return n.lastID == 2 && len(n.clients) == 0 && len(n.requests) == 0 })
+		if !slices.Equal(ends.outcomes, []tulipglade.Outcome{tulipglade.Moot}) {
+			t.Errorf("attempts that ended as %v, want one that never began", ends.outcomes)
+		}
+	})
+	t.Run("an attempt waits", func(t *testing.T) {
+		w := newWaiting(t, nil)
+		on(w.n, func() { // the loop is at work as the client leaves, and a connection is free behind that
+			_ = w.second.Close()
+			for _, a := range w.n.hosts[1].waiting {
+				for !a.req.client.hasEnded() {
+					runtime.Gosched()
+				}
+				if w.n.mayBegin(a) {
+					t.Error("may begin")
+				}
+			}
+		})
+		w.free()
+		if k := w.app.seen.Load(); k != 1 {
+			t.Errorf("%d requests sent on", k)
+		}
+	})
+}
+
 // Of what a client has sent at once before it left, at most the first request is begun.
 func TestClientGoneBehindManyRequests(t *testing.T) {
 	n, addr := start(t, newApp(t, serve).targets(), nil)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -340,7 +340,7 @@
 	if a.probe {
 		return a.host.state == protocol.InService
 	}
-	return !a.req.done && n.bal.MayBegin(n.now(), a.req.id, a.number)
+	return !a.req.done && !n.left(a.req) && n.bal.MayBegin(n.now(), a.req.id, a.number)
 }
 
 // lookAgain has the next connection that will have rested handed over then. All idle ones rest, or somebody would have them.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// left tells whether the client of a request has gone, by its connection as it is now: word of that may stand behind much else that Run's
+// goroutine has to do, and what begins long after the client went is work for nobody. If so, the request is over as soon as the module's
+// call has returned.
+func (n *Node) left(r *request) bool {
+	if r.client == nil || !r.client.hasEnded() {
+		return false
+	}
+	n.later = append(n.later, r.client.gone)
+	return true
+}
+
 // outcome is what an answer says about the attempt it belongs to. Only a turned-away request, marked as such,
 // is known never to have run.
 func outcome(msg *protocol.Message) tulipglade.Outcome {
@@ -240,7 +251,7 @@
 		a.till = min(a.till, now+timeout)
 	}
 	switch {
-	case r.done || now >= r.deadline || len(r.attempts) > max(r.set.Module.MaxAttempts, 1):
+	case r.done || n.left(r) || now >= r.deadline || len(r.attempts) > max(r.set.Module.MaxAttempts, 1):
 		n.settle(a, tulipglade.Moot, nil)
 		return
 	case !r.set.Module.MayDuplicate && r.out > 1:
