--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+
+	"tulipglade/internal/protocol"
 )
 
 // narrow is a client that takes in little before it reads.
@@ -328,3 +330,21 @@
 		t.Errorf("the next request: %d %q", code, body)
 	}
 }
+
+// News that comes while the process stops is taken up: a request that was held as the word to end came is placed on a list that comes behind it,
+// and keeps the rules that it came under, whatever settings come in between.
+func TestStopTakesNewsUp(t *testing.T) {
+	app := newApp(t, serve)
+	n, addr := start(t, nil, nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, text("once", 9000))
+	until(n, func() bool { return len(n.requests) == 1 })
+	ended := make(chan struct{})
+	n.Drain(0, func() { close(ended) })
+	retuned(n, func(s *Settings) { s.Classes, s.Module.Classes = s.Classes[:1], s.Module.Classes[:1] }) // its class is no more
+	n.Members(protocol.List{Rev: 1, All: true, Targets: app.targets()}, false)
+	if code, body, closing := conn.answer(); code != 200 || body != "body of /once" || !closing {
+		t.Errorf("%d %q, closing %v", code, body, closing)
+	}
+	<-ended
+}
