Draw how long a call may wait as it is made, and drop a refusal that nothing needs

Read again. heed says 'from the next call on', and the next call still had the wait that was drawn before it: it is drawn where the call is made, which spares two variables and a bound, and Fetch reads the time limit under the lock that heed writes it under.

drain.go refused what came after partly in a stop: taken out, no test fails, and none should. answerBy bounds what comes then. internal/daemon passes under the race detector.

--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -142,9 +142,9 @@
 	go func() {
 		for {
 			w.mu.Lock()
-			c := newCall(w.addr, w.moved)
+			c, slack := newCall(w.addr, w.moved), w.slack
 			w.mu.Unlock()
-			l, err := c.do(protocol.AppendListRequest(nil, c.addr), w.slack)
+			l, err := c.do(protocol.AppendListRequest(nil, c.addr), slack)
 			c.close()
 			if !errors.Is(err, errMoved) {
 				w.tell(c.addr, l, err)
@@ -159,8 +159,7 @@
 func (w *watch) follow() {
 	c := &call{}
 	defer func() { c.close() }()
-	var wait time.Duration
-	failed := false
+	waits, failed := false, false
 	for {
 		w.mu.Lock()
 		if !w.on {
@@ -170,21 +169,20 @@
 		}
 		if c.addr != w.addr {
 			c.close()
-			c, wait = newCall(w.addr, w.moved), 0
+			c, waits = newCall(w.addr, w.moved), false
+		}
+		rev, whole, slack, wait := w.rev, w.whole, w.slack, time.Duration(0)
+		if waits && !whole {
+			wait, slack = w.wait-rand.N(w.vary+1), w.over
 		}
-		rev, whole, slack, over, longest := w.rev, w.whole, w.slack, w.over, w.wait
 		// A discovery that answers or fails at once must not be called in a tight loop, whoever asks for that.
 		pause := w.pause - time.Since(w.began)
 		w.began = time.Now().Add(max(pause, 0))
 		w.mu.Unlock()
 		time.Sleep(pause)
-		wait = min(wait, longest)
 		request := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds())
 		if whole {
-			request, wait = protocol.AppendListRequest(nil, c.addr), 0
-		}
-		if wait > 0 {
-			slack = over
+			request = protocol.AppendListRequest(nil, c.addr)
 		}
 		began := time.Now()
 		l, err := c.do(request, wait+slack)
@@ -201,7 +199,7 @@
 			if !failed {
 				w.lost(err)
 			}
-			failed, wait = true, 0
+			failed, waits = true, false
 			continue
 		}
 		failed = false
@@ -218,7 +216,7 @@
 		if err != nil {
 			return
 		}
-		wait = longest - rand.N(w.vary+1)
+		waits = true
 	}
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -122,7 +122,7 @@
 		return
 	}
 	now := n.now()
-	n.drain.late = now-n.drain.since >= drainRefuses || n.drain.stopping && now >= n.drain.partly
+	n.drain.late = now-n.drain.since >= drainRefuses
 	n.closeIdleClients()
 	n.at(now+drainEvery, func() { n.sendAway(turn) })
 }
