--- a/cmd/tulipglade/stop_test.go
+++ b/cmd/tulipglade/stop_test.go
@@ -75,7 +75,8 @@
 	return !resp.Close
 }
 
-// Three processes are told to end under load, each with a request at its host that this holds until the process turns others away, while clients go on to ask on every connection
+// Three processes are told to end under load, each with a request at its host that this holds until the process turns others away, while clients
+// go on to ask on every connection
 // that stays open, and open others. Each process ends by itself, in order; each request has its whole answer, or has met the end of its
 // connection and never ran.
 func TestProcessesStopUnderLoad(t *testing.T) {
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -348,3 +348,59 @@
 	}
 	<-ended
 }
+
+// A stop waits for whoever has come just now, and is about to ask, and for a large request whose answer came early: ended in that moment, the one
+// would not be heard, and the other's answer be reset.
+func TestStopWaitsForWhoIsAboutToAsk(t *testing.T) {
+	n, addr := start(t, newApp(t, serve).targets(), nil)
+	ended := make(chan struct{})
+	n.Drain(0, func() { close(ended) })
+	age(n, drainCloses)
+	conn := dial(t, addr)
+	until(n, func() bool { return len(n.clients) == 1 && n.drain.drained != nil })
+	on(n, func() {
+		for c := range n.clients {
+			c.since = n.now() + 3_600_000_000 // it stays one that has just come
+		}
+		if n.checkDrained(); n.drain.ending {
+			t.Error("does not wait")
+		}
+	})
+	if code, _, closing := conn.ask(text("read", 9000)); code != 200 || !closing {
+		t.Errorf("%d, closing %v", code, closing)
+	}
+	<-ended
+}
+
+func TestStopWaitsForAnEarlyAnsweredUpload(t *testing.T) {
+	body := noiseOf(1, 4<<20)
+	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(503)
+	})
+	n, addr := start(t, a.targets(), nil)
+	conn := dial(t, addr)
+	_, _ = io.WriteString(conn, post("once", "Content-Length: "+strconv.Itoa(len(body))))
+	_, _ = conn.Write(body[:3<<20])
+	if code, _, _ := conn.answer(); code != 503 {
+		t.Fatal(code)
+	}
+	until(n, func() bool { return n.open == 0 && n.writing == 0 })
+	ended := make(chan struct{})
+	n.Drain(0, func() { close(ended) })
+	age(n, drainCloses)
+	until(n, func() bool { return n.drain.drained != nil })
+	on(n, func() {
+		if n.checkDrained(); n.drain.ending {
+			t.Error("does not wait")
+		}
+		n.drain.partly = 0 // not for ever; and what is on its way through a descriptor of its own is not shut under it
+		n.checkDrained()
+		for c := range n.clients {
+			if c.lingering {
+				t.Error("shut while its request comes in")
+			}
+		}
+	})
+	<-ended
+}
