Send nothing by a list of unknown age, and call discovery soon after a start

Cause: a process that starts holds the list of its configuration, of unknown age, and Balancer.Members put its first call to discovery up to 5 s later (half of ask_every_us); a change counts as notified 6 s after discovery had it. In the same way the pause after a call that was turned away grew to 18.7 s with 300 processes, and a move of discovery before the first call waited for that call.

Change: internal/freshness, a lease on the list: every answer, and every call that shows that nothing newer can be had, renews it for 6 s; without it nothing is sent, requests are held, and a process that has just started is not ready (4.5 s at most). The first call comes within 2 s, the next after a refusal within 3 s, and a move of discovery ends the lease after 4 s. internal/permit: one place, without state, that decides whether an attempt may be sent or repeated; asked as it is decided and at its first byte.

--- a/api.go
+++ b/api.go
@@ -5,6 +5,8 @@
 // This file is the whole interface; balancer.go holds every decision.
 package tulipglade
 
+import "tulipglade/internal/permit"
+
 // Time is a point on the gateway's clock and Span a length of time, both in microseconds.
 type (
 	Time = int64
@@ -18,24 +20,20 @@
 	Token  uint64
 )
 
-// Effect says how often a request may run.
-type Effect uint8
-
-// The three kinds of effect.
-const (
-	Repeatable Effect = iota
-	ByKey             // repeats are dropped by the hosts of one Scope for Class.Window
-	Once              // must never run twice
+// Effect says how often a request may run, and Scope which group of hosts drops the repeats of a ByKey request.
+type (
+	Effect = permit.Effect
+	Scope  = permit.Scope
 )
 
-// Scope is the group of hosts that drops the repeats of a ByKey request.
-type Scope uint8
-
-// The three groups.
+// The kinds of effect, and the groups of hosts.
 const (
-	ScopeAll Scope = iota
-	ScopeZone
-	ScopeCell
+	Repeatable = permit.Repeatable
+	ByKey      = permit.ByKey // repeats are dropped by the hosts of one Scope for Class.Window
+	Once       = permit.Once  // must never run twice
+	ScopeAll   = permit.ScopeAll
+	ScopeZone  = permit.ScopeZone
+	ScopeCell  = permit.ScopeCell
 )
 
 // Class is a kind of request.
@@ -65,6 +63,7 @@
 	MayProbe      bool
 	AskDiscovery  bool    // the list of hosts comes only after Observe or Fetch
 	AskEvery      Span    // longest silence towards discovery while not subscribed
+	ListLease     Span    // for so long after a proof that the list is current requests are sent by it; 0: for ever
 	Tick          Span    // least time between two rounds of events
 	MaxRetryAfter Span    // longest wait a refused client obeys; 0: no advice given
 	ColdFrom      float64 // a host starts at this share of its capacity or more
--- a/balancer.go
+++ b/balancer.go
@@ -7,44 +7,48 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"tulipglade/internal/freshness"
+	"tulipglade/internal/permit"
 )
 
 // What neither settings nor traffic tell. None has a unit of time or work: those derive from the aims.
 const (
-	floorShare  = 0.10      // of all slots, spread evenly over tenants: the paper's minimum
-	horizon     = 2.0       // T_e/t_p: how hard Eq. 1 corrects what was missed
-	overEnter   = 0.92      // mean reported utilization at which overload begins
-	overLeave   = 0.80      // and below which it may end
-	reportFresh = 3         // control periods after which an unchanged report tells nothing
-	limitLeast  = 4.5       // of all gateways together: so few do not congest a host, whatever latencies say
-	busyFull    = 0.95      // reported utilization that limits steer for
-	cutWorth    = 3         // times an answer an attempt counts that was turned away or given up
-	limitGain   = 0.10      // change of a host's limit for one answer a whole target early or late
-	limitFirst  = 6         // of all gateways together for a host of which nothing is known
-	targetPart  = 0.25      // of the way, in ratio, from uncongested latency to the aim
-	inUse       = 0.70      // a limit rises only while this much of it is in use
-	latencyGain = 0.05      // weight of one answer in a class's mean latency
-	baseDrift   = 1.01      // rise per control period of the latency held to be uncongested
-	smoothing   = 0.3       // weight of the last period in means over periods
-	enough      = 8         // answers in a period that make a mean
-	sure        = 1.2       // times what is foreseen an answer may take
-	fill        = 0.7       // of the aim, a host's limit is what it is done with in that time
-	probeDraws  = 3         // hosts probed for a request, where that is cheap
-	golden      = 0.618034  // of the ring of hosts from one gateway to the next: any run is even
-	probeWorth  = 0.01      // of a request's worth may go into that
-	coldPart    = 0.5       // of the cold budget is used, the rest is for chance and for unequal gateways
-	coldBurst   = 0.25      // of the cold window a turn at a cold host stays open
-	silentMeans = 1.5       // mean latencies without an answer after which a host gets nothing new
-	ejectAfter  = 3         // failures in a row that judge a host out
-	badGain     = 0.2       // weight of one answer in the share of a host's answers that were errors
-	badOut      = 0.45      // of them judge it out: about three in a row, but not the odd one
-	badSuspect  = 0.1       // and with more than this, it gets nothing that could not be repeated
-	badUsual    = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
-	askFirst    = 0.5       // of the longest silence may pass before the first call to discovery
-	askEach     = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
-	askLatest   = 0.5       // of ToldWithin goes by at most until the call after one that failed
-	askAnew     = 0.1       // and after one that was not answered at all
-	ejectMost   = 5         // doublings of the time out
+	floorShare     = 0.10      // of all slots, spread evenly over tenants: the paper's minimum
+	horizon        = 2.0       // T_e/t_p: how hard Eq. 1 corrects what was missed
+	overEnter      = 0.92      // mean reported utilization at which overload begins
+	overLeave      = 0.80      // and below which it may end
+	reportFresh    = 3         // control periods after which an unchanged report tells nothing
+	limitLeast     = 4.5       // of all gateways together: so few do not congest a host, whatever latencies say
+	busyFull       = 0.95      // reported utilization that limits steer for
+	cutWorth       = 3         // times an answer an attempt counts that was turned away or given up
+	limitGain      = 0.10      // change of a host's limit for one answer a whole target early or late
+	limitFirst     = 6         // of all gateways together for a host of which nothing is known
+	targetPart     = 0.25      // of the way, in ratio, from uncongested latency to the aim
+	inUse          = 0.70      // a limit rises only while this much of it is in use
+	latencyGain    = 0.05      // weight of one answer in a class's mean latency
+	baseDrift      = 1.01      // rise per control period of the latency held to be uncongested
+	smoothing      = 0.3       // weight of the last period in means over periods
+	enough         = 8         // answers in a period that make a mean
+	sure           = 1.2       // times what is foreseen an answer may take
+	fill           = 0.7       // of the aim, a host's limit is what it is done with in that time
+	probeDraws     = 3         // hosts probed for a request, where that is cheap
+	golden         = 0.618034  // of the ring of hosts from one gateway to the next: any run is even
+	probeWorth     = 0.01      // of a request's worth may go into that
+	coldPart       = 0.5       // of the cold budget is used, the rest is for chance and for unequal gateways
+	coldBurst      = 0.25      // of the cold window a turn at a cold host stays open
+	silentMeans    = 1.5       // mean latencies without an answer after which a host gets nothing new
+	ejectAfter     = 3         // failures in a row that judge a host out
+	badGain        = 0.2       // weight of one answer in the share of a host's answers that were errors
+	badOut         = 0.45      // of them judge it out: about three in a row, but not the odd one
+	badSuspect     = 0.1       // and with more than this, it gets nothing that could not be repeated
+	badUsual       = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
+	askFirst       = 0.5       // of the longest silence may pass before the first call to discovery
+	askFirstLeased = 1.0 / 3   // of ToldWithin, the same where nothing is sent before the answer
+	askEach        = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
+	askLatest      = 0.5       // of ToldWithin goes by at most until the call after one that failed
+	askAnew        = 0.1       // and after one that was not answered at all
+	ejectMost      = 5         // doublings of the time out
 )
 
 // ---- events ----
@@ -238,7 +242,7 @@
 // pick draws hosts in proportion to the tenant's slots, or to the room lent; with no host fit, of all in use.
 func (b *Balancer) pick(r *request, lent bool) (drawn []*host) {
 	from := b.group
-	if r.mayHaveRun() != nil && b.cfg.Classes[r.class].Effect == ByKey { // few of its group of hosts are ours
+	if mayHaveRun(r.tries) != nil && b.cfg.Classes[r.class].Effect == ByKey { // few of its group of hosts are ours
 		from = b.hosts
 	}
 	fit := b.anyFit()
@@ -437,46 +441,53 @@
 
 // ---- attempts and rules ----
 
-// allowed holds the rules on where an attempt may go. Every Try passes it.
+// allowed tells whether a request may have one more attempt, at a host. Every Try passes it.
 func (b *Balancer) allowed(r *request, h *host) bool {
 	n := len(r.tries)
 	justFailed := n > 0 && r.tries[n-1].host == h && len(b.hosts) > 1
-	if r.done || r.started || b.now >= r.deadline || n >= r.most || r.open > 0 || justFailed {
+	if justFailed || (permit.Attempt{Had: n, Most: r.most, InFlight: r.open}).Check() != permit.Allowed {
 		return false
 	}
-	// Draining and gone hosts get nothing, from the moment we are told.
-	return h.Phase == PhaseReady && b.mayRepeat(r, h) && b.coldRoom(h)
+	return b.maySend(r, h, r.tries) == permit.Allowed && b.coldRoom(h)
 }
 
-// mayRepeat keeps effects from happening twice. h may be nil: is there any place at all?
-func (b *Balancer) mayRepeat(r *request, h *host) bool {
-	c, a := &b.cfg.Classes[r.class], r.mayHaveRun()
-	if a == nil || c.Effect == Repeatable {
-		return true
-	}
-	if c.Effect == Once || b.now-a.sent+2*b.cfg.Tick >= c.Window {
-		return false
-	}
-	return h == nil || c.Scope == ScopeAll || c.Scope == ScopeZone && a.zone == h.Zone ||
-		c.Scope == ScopeCell && a.cell == h.Cell
+// maySend asks the one place that decides whether an attempt may be sent, given the attempts before it.
+func (b *Balancer) maySend(r *request, h *host, before []attempt) permit.Reason {
+	return permit.Send{
+		Now:         b.now,
+		Deadline:    r.deadline,
+		RequestOver: r.done || r.started,
+		ListCurrent: b.lease.Valid(b.now),
+		Rules:       b.rules(r),
+		Earlier:     mayHaveRun(before),
+		To:          permit.Backend{InService: h.Phase == PhaseReady, Zone: h.Zone, Cell: h.Cell},
+	}.Check()
+}
+
+// rules are those of a request's class. Of the window for repeats, some is kept for the way to the host.
+func (b *Balancer) rules(r *request) permit.Rules {
+	c := &b.cfg.Classes[r.class]
+	return permit.Rules{Effect: c.Effect, Scope: c.Scope, Window: c.Window, Spare: 2 * b.cfg.Tick}
+}
+
+// mayRepeat tells whether there is any place where a request may be sent once more without its effect happening twice.
+func (b *Balancer) mayRepeat(r *request) bool {
+	return permit.Repeat(b.now, b.rules(r), mayHaveRun(r.tries), nil) == permit.Allowed
 }
 
-// MayBegin tells whether an attempt that has waited for its connection may begin: much may have changed.
-func (b *Balancer) MayBegin(now Time, id ReqID, attempt int) bool {
+// MayBegin tells whether an attempt that has waited for its connection may begin, and if not, why: much may have changed.
+func (b *Balancer) MayBegin(now Time, id ReqID, attempt int) permit.Reason {
 	b.now = now
 	r := b.reqs[id]
-	if r == nil || r.done || attempt >= len(r.tries) || now >= r.deadline {
-		return false
+	if r == nil || attempt >= len(r.tries) {
+		return permit.RequestOver
 	}
-	before, h := *r, r.tries[attempt].host
-	before.tries = r.tries[:attempt]
-	return h.Phase == PhaseReady && b.mayRepeat(&before, h)
+	return b.maySend(r, r.tries[attempt].host, r.tries[:attempt])
 }
 
 // mayDecline tells whether a refusal, which promises that a repeat does no harm, would be true.
 func (b *Balancer) mayDecline(r *request) bool {
-	c := &b.cfg.Classes[r.class]
-	return c.Effect == Repeatable || c.Effect == ByKey && c.Scope == ScopeAll || r.mayHaveRun() == nil
+	return permit.Refuse(b.rules(r), mayHaveRun(r.tries)) == permit.Allowed
 }
 
 // send is the only way to Try.
@@ -539,7 +550,7 @@
 
 // again decides on a failed request: held for another attempt where one is allowed and can still be in time.
 func (b *Balancer) again(r *request) {
-	if r.started || len(r.tries) >= r.most || b.now >= b.lastStart(r) || !b.mayRepeat(r, nil) {
+	if r.started || len(r.tries) >= r.most || b.now >= b.lastStart(r) || !b.mayRepeat(r) {
 		b.end(r)
 	} else {
 		b.hold(r, true)
@@ -656,22 +667,30 @@
 
 // ---- discovery ----
 
-// Members is news about the list of hosts.
-func (b *Balancer) Members(now Time, kind ListKind, list []Host) {
+// Members is news about the list of hosts that holds as of now.
+func (b *Balancer) Members(now Time, kind ListKind, list []Host) { b.MembersAsOf(now, now, kind, list) }
+
+// MembersAsOf is news about the list of hosts, or a call that has failed. It was current, or nothing newer could be had, at asOf.
+func (b *Balancer) MembersAsOf(now, asOf Time, kind ListKind, list []Host) {
 	b.now = now
 	if !b.begun {
 		b.begun, b.controlAt, b.watching = true, now, !b.cfg.AskDiscovery
 		b.busy = limitFirst * float64(len(list)) / float64(max(b.cfg.Peers, 1))
+		b.lease = freshness.New(now, b.cfg.ListLease)
 		b.act.WakeAt(wakeControl, b.period)
-		b.act.WakeAt(wakeAsk, Span(b.random()*min(b.askSpread(), askFirst*float64(b.cfg.AskEvery))))
+		b.act.WakeAt(wakeAsk, Span(b.random()*b.firstCallWithin()))
 	}
+	b.noteEvidence(kind, asOf)
 	switch kind {
 	case ListFailed, ListSilent, ListBusy:
 		b.watching = false
 		b.log("discovery: lost")
 		told := float64(ToldWithin)
-		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told,
-			ListBusy: max(askLatest*told, b.askSpread())}[kind] // sooner, all would stand in line for nothing
+		busy := max(askLatest*told, b.askSpread()) // sooner, all would stand in line for nothing
+		if b.lease.Bounded() {
+			busy = askLatest * told // later, the list would be too old to send by
+		}
+		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told, ListBusy: busy}[kind]
 		b.askAgain(min(max(float64(b.period)/4, b.askSpread())*math.Exp2(float64(b.askFails)), most))
 		b.askFails = min(b.askFails+1, ejectMost)
 		return
@@ -692,6 +711,40 @@
 	b.release()
 }
 
+// noteEvidence takes in what a call to discovery says of the age of the list. A list from a configuration says nothing of it.
+func (b *Balancer) noteEvidence(kind ListKind, asOf Time) {
+	switch kind {
+	case ListDelta, ListFull:
+		b.lease.Note(freshness.Answered, asOf)
+	case ListFailed, ListBusy:
+		b.lease.Note(freshness.Refused, asOf)
+	case ListSilent:
+		b.lease.Note(freshness.Silent, asOf)
+	}
+}
+
+// firstCallWithin is the time over which gateways that start together spread their first calls to discovery. Where nothing is sent before the
+// answer, it is short.
+func (b *Balancer) firstCallWithin() float64 {
+	within := min(b.askSpread(), askFirst*float64(b.cfg.AskEvery))
+	if b.lease.Bounded() {
+		within = min(within, askFirstLeased*float64(ToldWithin))
+	}
+	return within
+}
+
+// ListMustBeHeardAnew ends the lease of the list at a time at the latest, as after a move of discovery: what was heard before says nothing of
+// the list there.
+func (b *Balancer) ListMustBeHeardAnew(now, at Time) {
+	b.now = now
+	b.lease.Shorten(at)
+}
+
+// ListCurrent tells whether requests are sent by the list, and until when that is known to hold.
+func (b *Balancer) ListCurrent(now Time) (current bool, until Time) {
+	return b.lease.Valid(now), b.lease.Until()
+}
+
 // askAgain sets the next call to discovery, at a chance moment so that gateways do not call together.
 func (b *Balancer) askAgain(after float64) {
 	b.askAt = b.now + b.cfg.Tick + Span(after*(0.25+0.75*b.random()))
--- a/cmd/tulipglade/main.go
+++ b/cmd/tulipglade/main.go
@@ -48,7 +48,7 @@
 	}
 	out := daemon.NewLogWriter(os.Stderr)
 	defer out.Flush(time.Second)
-	return daemon.Serve(ctx, c, load, hangups, slog.New(slog.NewTextHandler(out, nil)))
+	return daemon.Serve(ctx, c, load, hangups, slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: logLevel()})))
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
@@ -74,3 +74,12 @@
 	fmt.Fprintf(cmd.Root().Writer, "tulipglade %s%s\n", v, revision)
 	return nil
 }
+
+// logLevel is that of TULIPGLADE_LOG, such as "debug", which has a line written for each step of each request; "info" without it.
+func logLevel() slog.Level {
+	var level slog.Level
+	if level.UnmarshalText([]byte(os.Getenv("TULIPGLADE_LOG"))) != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -12,6 +12,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
+	"tulipglade"
 	"tulipglade/internal/node"
 	"tulipglade/internal/protocol"
 	"tulipglade/internal/wire"
@@ -158,8 +159,11 @@
 		return nil, fmt.Errorf("settings.rules.ask_every_us: %d is not above 0, and discovery must be asked", module.AskEvery)
 	}
 	c.Grace = s.Rules.Drain
+	if module.AskDiscovery {
+		module.ListLease = tulipglade.ToldWithin
+	}
 	c.Node = node.Settings{Module: module, Seed: seed, Zones: s.Zones, MaxOpen: s.Limits.MaxOpen,
-		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Reports: len(reports) > 0, Grace: s.Rules.Grace,
+		ConnectTimeout: s.Limits.ConnectTimeout, Keepalive: s.Limits.Keepalive, Reports: len(reports) > 0, Grace: s.Rules.Grace, DrainGrace: s.Rules.Drain,
 		Sockets: in.Limits.Sockets, Memory: int64(in.Limits.MemoryMB) << 20}
 	if c.Node.Classes, err = names("settings.profiles", s.Classes); err != nil {
 		return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 	running.Cores, running.MemoryMB = old.Cores, old.MemoryMB
 	running.Node.Seed, running.Node.Sockets, running.Node.Memory = old.Node.Seed, old.Node.Sockets, old.Node.Memory
 	running.Node.Zones, running.Node.Module.Zone = old.Node.Zones, old.Node.Module.Zone
-	running.Node.Module.AskDiscovery = old.Node.Module.AskDiscovery
+	running.Node.Module.AskDiscovery, running.Node.Module.ListLease = old.Node.Module.AskDiscovery, old.Node.Module.ListLease
 	if !running.Node.Module.AskDiscovery {
 		w.heed(running.Grace)
 	}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -32,10 +32,21 @@
 
 // listener is who hears of the list of backends.
 type listener interface {
-	Members(l protocol.List, cached bool)
-	MembersFailed(err error, how tulipglade.ListKind)
+	// MembersAsOf is an answer that held at a time.
+	MembersAsOf(l protocol.List, asOf time.Time)
+	// MembersFailed is a call that has failed. It had begun at a time.
+	MembersFailed(err error, how tulipglade.ListKind, began time.Time)
+	// Moved tells that what was heard before counts for so long at most.
+	Moved(within time.Duration)
 }
 
+// movedWithin is for how long after a move of discovery what was heard before still counts (protocol, new configurations).
+const movedWithin = 4 * time.Second
+
+// answerSpare is by how much the answer to a call that waits may come later than it was to wait and still count as written on arrival. One that
+// comes later was held up on its way, or this process was.
+const answerSpare = 200 * time.Millisecond
+
 // errSilent is a call that had no whole answer in time. One that discovery has no room for is refused, with 503 or a reset.
 var errSilent = errors.New("no answer in time")
 
@@ -130,6 +141,7 @@
 		return
 	}
 	w.addr, w.whole = addr, true
+	w.to.Moved(movedWithin)
 	close(w.moved)
 	w.moved = make(chan struct{})
 	if w.wanted {
@@ -144,10 +156,11 @@
 			w.mu.Lock()
 			c, slack := newCall(w.addr, w.moved), w.slack
 			w.mu.Unlock()
+			began := time.Now()
 			l, err := c.do(protocol.AppendListRequest(nil, c.addr), slack)
 			c.close()
 			if !errors.Is(err, errMoved) {
-				w.tell(c.addr, l, err)
+				w.tell(c.addr, l, began, 0, err)
 				return
 			}
 		}
@@ -212,7 +225,7 @@
 			w.running, w.on = false, false // before the module hears of it, which may ask anew
 			w.mu.Unlock()
 		}
-		w.tell(c.addr, l, err)
+		w.tell(c.addr, l, began, wait, err)
 		if err != nil {
 			return
 		}
@@ -224,19 +237,28 @@
 // believe it would empty the fleet.
 var errNoBackends = errors.New("no backends on a whole list")
 
-// tell passes on what a call to discovery at addr has brought.
-func (w *watch) tell(addr string, l protocol.List, err error) {
+// tell passes on what a call to discovery at addr has brought, which began at a time and was to wait for so long.
+func (w *watch) tell(addr string, l protocol.List, began time.Time, wait time.Duration, err error) {
 	if err != nil {
-		w.to.MembersFailed(err, how(err))
+		w.to.MembersFailed(err, how(err), began)
 		return
 	}
+	var asOf time.Time // an answer of the address left behind says nothing of the list at the new one
 	w.mu.Lock()
 	if addr == w.addr { // news from the address left behind is news, but its versions do not count here
 		w.rev = l.Rev
 		w.whole = w.whole && !l.All
+		asOf = earlier(time.Now(), began.Add(wait+answerSpare))
 	}
 	w.mu.Unlock()
-	w.to.Members(l, false)
+	w.to.MembersAsOf(l, asOf)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // call is a connection to discovery, kept from one call to the next. One goroutine uses it; others end its call
--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -94,8 +94,10 @@
 	mu     sync.Mutex
 	ended  bool
 	hup    atomic.Bool // the poller has ended it
-	fin    bool        // the other side has closed it in order
-	left   func(*os.File, []byte, error)
+	// endedAt is when the poller met the end of a client's connection, on the node's clock; 0: it has not.
+	endedAt atomic.Int64
+	fin     bool // the other side has closed it in order
+	left    func(*os.File, []byte, error)
 }
 
 // onClose has f called when the connection has closed.
@@ -218,6 +220,21 @@
 	return s.ended || !s.conn.IsActive() || stands(s.conn) != peerOpen
 }
 
+// writeSoon is write where the first byte must follow soon: what is held up before that is not written at all. It tells when the first byte
+// was about to be written.
+func (n *Node) writeSoon(s *socket, done func(began int64, err error), parts ...[]byte) {
+	allowed := n.now()
+	go func() {
+		began, err := n.now(), error(nil)
+		if began-allowed > heldUpMost {
+			err = errHeldUp
+		} else {
+			err = s.write(parts)
+		}
+		n.post(func() { done(began, err) })
+	}()
+}
+
 // write writes parts to a connection beside Run's goroutine, which then calls done. A connection has one write
 // at a time. Parts must stay as they are until then.
 func (n *Node) write(s *socket, done func(error), parts ...[]byte) {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -108,7 +108,7 @@
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
 			c := &client{n: n, socket: socket{conn: conn}, since: n.now()}
 			_ = conn.SetWriteTimeout(writeTimeout)
-			c.onClose(func() { n.post(c.gone) })
+			c.onClose(c.ended(n))
 			n.unseen.Add(1)
 			n.post(c.opened)
 			n.catchUp()
@@ -219,6 +219,14 @@
 	c.n.at(c.n.now()+lingerFor, c.close)
 }
 
+// ended is called as the connection has closed, beside Run's goroutine.
+func (c *client) ended(n *Node) func() {
+	return func() {
+		c.endedAt.Store(n.now())
+		n.post(c.gone)
+	}
+}
+
 // gone is a connection that has ended.
 func (c *client) gone() {
 	req := c.req
@@ -407,7 +415,7 @@
 	c.headSize = protocol.UntilClose
 	if string(msg.Path()) == "/ready" {
 		buf.release()
-		if c.n.drain.on || !c.n.listed {
+		if !c.n.ready() {
 			c.reply(nil, 503, nil, []byte("not ready\n"), 0)
 		} else {
 			c.reply(nil, 200, nil, []byte("ready\n"), 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tulipglade"
+	"tulipglade/internal/permit"
 	"tulipglade/internal/protocol"
 )
 
@@ -30,6 +31,7 @@
 	Keepalive      int64 // a backend closes a connection that stood idle so long
 	Reports        bool  // backends report their load
 	Grace          int64 // past its deadline, after which a request is overdue
+	DrainGrace     int64 // after the word that a backend drains or is gone, for what still goes to it
 	Sockets        int   // descriptors of the whole process
 	Memory         int64 // bytes that the process may use; 0: no limit
 }
@@ -43,12 +45,14 @@
 
 // module is what the node asks of the decision module: a tulipglade.Balancer.
 type module interface {
-	Members(now tulipglade.Time, kind tulipglade.ListKind, list []tulipglade.Host)
+	MembersAsOf(now, asOf tulipglade.Time, kind tulipglade.ListKind, list []tulipglade.Host)
 	Request(now tulipglade.Time, a tulipglade.Arrival)
 	Loading(now tulipglade.Time, id tulipglade.ReqID, on bool)
 	Settled(now tulipglade.Time, s tulipglade.Settlement)
 	Checked(now tulipglade.Time, id tulipglade.HostID, out tulipglade.Outcome, took tulipglade.Span, rep *tulipglade.Report)
-	MayBegin(now tulipglade.Time, id tulipglade.ReqID, attempt int) bool
+	MayBegin(now tulipglade.Time, id tulipglade.ReqID, attempt int) permit.Reason
+	ListCurrent(now tulipglade.Time) (current bool, until tulipglade.Time)
+	ListMustBeHeardAnew(now, at tulipglade.Time)
 	Gone(now tulipglade.Time, id tulipglade.ReqID)
 	Wake(now tulipglade.Time, t tulipglade.Token)
 	Retune(now tulipglade.Time, cfg tulipglade.Config, classes, tenants []int) error
@@ -105,19 +109,22 @@
 	idleMost, idleMostTill  int64 // what learnIdle found, and for how long it holds
 	descriptors             int
 	listed                  bool // at least one backend has been named
+	list                    listState
 	drain                   drain
 	shared                  int // processes that are this node; 0: one
+	violations              map[permit.Reason]int
+	tracing                 bool // a line for each step of each request
 }
 
 // New returns a Node that has not started. Run must be called before anything else has an effect.
 func New(set Settings, discovery Discovery, log *slog.Logger) (*Node, error) {
 	start := time.Now()
 	set.nameless()
-	n := &Node{set: &set, log: log, discovery: discovery, epoch: start, epochUs: start.UnixMicro(),
+	n := &Node{set: &set, log: log, discovery: discovery, list: listState{since: start.UnixMicro()}, epoch: start, epochUs: start.UnixMicro(),
 		wake: make(chan struct{}, 1), classes: index(set.Classes), tenants: index(set.Tenants),
 		zones: index(set.Zones), requests: map[tulipglade.ReqID]*request{}, byUID: map[string]*host{},
 		hosts: map[tulipglade.HostID]*host{}, warned: map[string]int{},
-		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
+		clients: map[*client]struct{}{}, ids: map[string]struct{}{}, violations: map[permit.Reason]int{}, tracing: traces(log)}
 	bal, err := tulipglade.New(set.Module, set.Seed, n)
 	if err != nil {
 		return nil, err
@@ -138,6 +145,9 @@
 // from elsewhere, such as a backend's start, so need no further conversion.
 func (n *Node) now() int64 { return n.epochUs + time.Since(n.epoch).Microseconds() }
 
+// timeOf is a moment of this process on the node's clock.
+func (n *Node) timeOf(t time.Time) int64 { return n.epochUs + t.Sub(n.epoch).Microseconds() }
+
 // post hands f to Run's goroutine. It never blocks.
 func (n *Node) post(f func()) {
 	n.mu.Lock()
@@ -280,6 +290,7 @@
 		n.closeBackend(b)
 	}
 	n.sweepClients()
+	n.noteList()
 	n.forgetHosts()
 	for msg, k := range n.warned {
 		if k > warnMost {
@@ -302,7 +313,12 @@
 // ---- discovery ----
 
 // Members is news about the backends. Cached tells that the list may be out of date.
-func (n *Node) Members(l protocol.List, cached bool) {
+func (n *Node) Members(l protocol.List, cached bool) { n.members(l, cached, time.Now()) }
+
+// MembersAsOf is an answer of discovery's that held at a time.
+func (n *Node) MembersAsOf(l protocol.List, asOf time.Time) { n.members(l, false, asOf) }
+
+func (n *Node) members(l protocol.List, cached bool, asOf time.Time) {
 	n.post(func() {
 		kind := tulipglade.ListDelta
 		if l.All {
@@ -319,14 +335,21 @@
 		if len(hosts) == 0 && kind == tulipglade.ListDelta && !n.set.Module.AskDiscovery {
 			return // where nothing was asked, nothing is owed: the module hears of changes alone
 		}
-		n.bal.Members(n.now(), kind, hosts)
+		n.bal.MembersAsOf(n.now(), n.timeOf(asOf), kind, hosts)
+		n.noteList()
 	})
 }
 
-// MembersFailed tells that a call to discovery has failed, and how: ListFailed, ListSilent or ListBusy.
-func (n *Node) MembersFailed(err error, how tulipglade.ListKind) {
+// MembersFailed tells that a call to discovery has failed, and how: ListFailed, ListSilent or ListBusy. It had begun at a time.
+func (n *Node) MembersFailed(err error, how tulipglade.ListKind, began time.Time) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		n.bal.Members(n.now(), how, nil)
+		n.bal.MembersAsOf(n.now(), n.timeOf(began), how, nil)
+		n.noteList()
 	})
 }
+
+// Moved tells that discovery has another address from now on: what was heard at the one before counts for so long at most.
+func (n *Node) Moved(within time.Duration) {
+	n.post(func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()+within.Microseconds()) })
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"tulipglade"
+	"tulipglade/internal/permit"
 	"tulipglade/internal/protocol"
 )
 
@@ -26,6 +27,7 @@
 	cell      int
 	weight    float64
 	goneAt    int64 // when discovery said so, or left it off a whole list; 0: it is listed
+	leftAt    int64 // when it was first heard that it drains or is gone; 0: it is in service
 	twiceTill int64 // until when it is held to answer requests twice
 	life      int   // counts its processes: a connection to an earlier one is never used again
 	idle      []*backend
@@ -80,7 +82,8 @@
 			continue
 		}
 		listed[h] = true
-		h.state, h.goneAt = t.State, 0
+		h.setState(t.State, n.now())
+		h.goneAt = 0
 		switch {
 		case t.State == protocol.Terminated:
 			n.hostGone(h)
@@ -103,7 +106,7 @@
 	}
 	for _, h := range n.hosts {
 		if kind != tulipglade.ListDelta && !listed[h] && h.goneAt == 0 {
-			h.state = protocol.Terminated
+			h.setState(protocol.Terminated, n.now())
 			n.hostGone(h)
 		}
 	}
@@ -318,7 +321,7 @@
 // handOver gives the connections that have rested to those who wait, the longest first.
 func (n *Node) handOver(h *host) {
 	for len(h.waiting) > 0 {
-		if a := h.waiting[0]; !n.mayBegin(a) { // since it was asked for
+		if a := h.waiting[0]; n.mayBegin(a) != permit.Allowed { // since it was asked for
 			h.waiting = h.waiting[1:]
 			n.settle(a, tulipglade.Moot, nil)
 		} else if b := n.rested(h); b != nil {
@@ -335,12 +338,23 @@
 	}
 }
 
-// mayBegin tells whether an attempt that has waited may still begin, at the moment in which its first byte would be written.
-func (n *Node) mayBegin(a *attempt) bool {
-	if a.probe {
-		return a.host.state == protocol.InService
+// mayBegin tells whether an attempt that has waited may still begin, at the moment in which its first byte would be written, and if not, why.
+func (n *Node) mayBegin(a *attempt) (why permit.Reason) {
+	switch {
+	case a.probe && a.host.state != protocol.InService:
+		why = permit.BackendLeaving
+	case a.probe:
+	case a.req.done:
+		why = permit.RequestOver
+	case n.left(a.req):
+		why = permit.ClientGone
+	default:
+		why = n.bal.MayBegin(n.now(), a.req.id, a.number)
 	}
-	return !a.req.done && !n.left(a.req) && n.bal.MayBegin(n.now(), a.req.id, a.number)
+	if why != permit.Allowed {
+		n.withheld(a, why)
+	}
+	return why
 }
 
 // lookAgain has the next connection that will have rested handed over then. All idle ones rest, or somebody would have them.
@@ -395,16 +409,27 @@
 	if r.upload != nil {
 		length, wait = r.msg.Length(), r.wait
 	}
-	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, length, max(wait/1000, 1))
+	wait = max(wait-min(heldUpMost, wait/10), 1000)
+	first := firstByte{told: wait}
+	if _, until := n.bal.ListCurrent(n.now()); n.set.Module.ListLease > 0 {
+		first.lease = until
+	}
+	n.traceRequest(r, "attempt", "attempt", a.number, "host", b.host.addr, "rev", n.rev, "left_us", wait, "idle_us", b.idleFor)
+	out := protocol.AppendRequest(head.data[:0], &r.msg.Head, length, wait/1000)
 	parts := [][]byte{out, body}
 	if length < 0 && len(body) > 0 {
 		parts = [][]byte{append(strconv.AppendInt(out, int64(len(body)), 16), "\r\n"...), body, []byte("\r\n")}
 	}
-	n.write(&b.socket, func(err error) {
+	n.writeSoon(&b.socket, func(at int64, err error) {
 		head.release()
 		held.release()
+		if first.at = at; !errors.Is(err, errHeldUp) {
+			n.audit(a, first)
+		}
 		switch {
 		case b.closed:
+		case errors.Is(err, errHeldUp):
+			n.sendAgain(b, a)
 		case r.upload != nil && err == nil && !b.answered && !b.hungUp && !r.done:
 			n.pump(b, a)
 		case r.upload != nil: // not all of it was written: it has never begun
@@ -416,6 +441,25 @@
 	}, parts...)
 }
 
+// sendAgain is an attempt of which not a byte was written in time: it is looked at once more, on the same connection.
+func (n *Node) sendAgain(b *backend, a *attempt) {
+	if !a.over && !b.hungUp && n.mayBegin(a) == permit.Allowed {
+		n.send(b, a)
+		return
+	}
+	b.att = nil
+	if !a.over {
+		a.backend = nil
+		n.settle(a, tulipglade.Moot, nil)
+	}
+	if b.hungUp || b.in != nil {
+		n.closeBackend(b)
+		n.supply(b.host)
+		return
+	}
+	n.reuse(b)
+}
+
 // sent is the end of a request's way to its host.
 func (n *Node) sent(b *backend, a *attempt, err error) {
 	switch {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -12,6 +12,7 @@
 // request is one that this node has taken: it gets exactly one answer.
 type request struct {
 	id       tulipglade.ReqID
+	traceID  string    // its client's own
 	set      *Settings // that it came under
 	msg      *protocol.Message
 	buf      *buffer // msg points into it
@@ -100,7 +101,8 @@
 func (n *Node) begin(r *request) {
 	n.open++
 	n.requests[r.id] = r
-	id, trace := r.id, string(r.msg.Get("x-trace-id"))
+	r.traceID = string(r.msg.Get("x-trace-id"))
+	id, trace := r.id, r.traceID
 	n.ids[trace] = struct{}{}
 	n.at(r.deadline+n.set.Grace, func() { n.overdue(id, trace) })
 	n.bal.Request(n.now(), tulipglade.Arrival{ID: r.id, Class: r.class, Tenant: r.tenant, Deadline: r.deadline,
@@ -138,6 +140,7 @@
 // answer gives a request its one answer.
 func (n *Node) answer(r *request, held *buffer, status int, fields []protocol.Field, body []byte, retry int64) {
 	if n.end(r) {
+		n.traceRequest(r, "answered", "status", status, "attempts", len(r.attempts))
 		r.client.reply(held, status, fields, body, retry)
 	} else {
 		held.release()
@@ -179,6 +182,7 @@
 
 func (n *Node) clientGone(r *request) {
 	if n.end(r) {
+		n.traceRequest(r, "client gone", "attempts", len(r.attempts))
 		n.bal.Gone(n.now(), r.id)
 	}
 }
@@ -218,6 +222,7 @@
 		n.checked(a, outcome, report)
 		return
 	}
+	n.traceRequest(a.req, "attempt over", "attempt", a.number, "host", a.host.addr, "outcome", int(outcome), "took_us", n.now()-a.sent)
 	s := tulipglade.Settlement{ID: a.req.id, Attempt: a.number, Host: a.host.id, Outcome: outcome,
 		Took: n.now() - a.sent, Report: report}
 	if a.till == never { // it had not all been sent: that took its client's time, not the host's
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -212,7 +212,7 @@
 		return false
 	}
 	c.inside(conn)
-	c.onClose(func() { c.n.post(c.gone) })
+	c.onClose(c.ended(c.n))
 	if err := conn.SetOnRequest(c.input); err != nil || !conn.IsActive() {
 		c.n.post(c.gone)
 	}
--- a/state.go
+++ b/state.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"tulipglade/internal/freshness"
+	"tulipglade/internal/permit"
 )
 
 type host struct {
@@ -142,13 +145,14 @@
 	triedAt   Time    // when a request was last sent whose answer was foreseen as late
 	work      float64 // mean over classes
 	aim       float64
-	way       float64 // how long a request is under way from its client, where deadlines tell
-	silence   Span    // how long a host may owe an answer
-	weight    float64 // mean of the hosts listed
-	typical   float64 // mean limit of warm hosts of mean weight
-	answers   float64 // from warm hosts since the last control
-	usualBad  float64 // median share of errors of the hosts in use
-	rate      float64 // answers a warm host gives this gateway, per microsecond
+	way       float64         // how long a request is under way from its client, where deadlines tell
+	silence   Span            // how long a host may owe an answer
+	weight    float64         // mean of the hosts listed
+	typical   float64         // mean limit of warm hosts of mean weight
+	answers   float64         // from warm hosts since the last control
+	usualBad  float64         // median share of errors of the hosts in use
+	rate      float64         // answers a warm host gives this gateway, per microsecond
+	lease     freshness.Lease // of the list: nothing is sent without it
 	watching  bool
 	askFails  int
 	askAt     Time
@@ -421,11 +425,11 @@
 	return at, usual
 }
 
-// mayHaveRun is the first attempt that may have executed, or is still out.
-func (r *request) mayHaveRun() *attempt {
-	for i := range r.tries {
-		if r.tries[i].open || r.tries[i].ran {
-			return &r.tries[i]
+// mayHaveRun is the first of these attempts that may have executed, or is still out.
+func mayHaveRun(tries []attempt) *permit.Earlier {
+	for i := range tries {
+		if a := &tries[i]; a.open || a.ran {
+			return &permit.Earlier{SentAt: a.sent, Zone: a.zone, Cell: a.cell}
 		}
 	}
 	return nil
