Refuse what came before its connection could be shut at a stop, and log why connections end

The lines at fault next to it are ours: opened and shutClients shut a connection whatever had already come on it, so that a request sent before the end was read and dropped.

What has come by then is refused with 503. Every end of a connection has a reason; one within a request is a warning.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"tulipglade/internal/permit"
 	"tulipglade/internal/protocol"
 )
 
@@ -140,12 +141,10 @@
 	c.n.descriptors++
 	if !c.n.makeRoom(0) { // beyond the cap, with nothing idle to close
 		c.n.warn("connection refused", "descriptors", c.n.descriptors)
-		c.close()
+		c.close(endNoDescriptor)
 		return
 	}
-	if c.setIdle(true); c.n.drain.ending {
-		c.shut()
-	}
+	c.setIdle(true) // where the process is about to end, checkDrained shuts it unless it has asked already
 }
 
 // setIdle keeps the lists of connections that hold no request: those that have never asked, and the others.
@@ -166,7 +165,7 @@
 		c.idle, c.idleSince = c.idleIn.PushBack(c), c.n.now()
 		if most := c.n.sockets() / idleShare; c.asked && !c.lingering && most > 0 && c.idleIn.Len() > most {
 			if oldest := c.n.idleClient(c.idleIn, 0); oldest != nil && oldest != c {
-				oldest.shut()
+				oldest.shut(endTooManyIdle)
 			}
 		}
 	}
@@ -177,10 +176,11 @@
 const idleShare = 6
 
 // close ends the connection. Unless the client went first, it holds no unanswered request.
-func (c *client) close() {
+func (c *client) close(why endReason) {
 	if c.closed {
 		return
 	}
+	c.noteEnd(why)
 	c.closed = true
 	c.setIdle(false)
 	delete(c.n.clients, c)
@@ -189,7 +189,7 @@
 	c.in, c.more = nil, nil
 	c.keeps(0)
 	if c.down != nil {
-		c.n.closeBackend(c.down)
+		c.n.closeBackend(c.down, endCutOff)
 	}
 	if c.upload == nil || c.file != nil { // else it is on its way out of the poller, and closes as it is there
 		c.end()
@@ -199,10 +199,11 @@
 // shut ends a connection behind its last answer, or between two requests. The other side is told first, and what it has sent meanwhile is
 // read and dropped: a close over unread bytes resets the connection, and with it goes what the client has not read of its answer. Whoever
 // sent a request that crosses the end sees that, with no answer to it; nothing of it is sent on.
-func (c *client) shut() {
+func (c *client) shut(why endReason) {
 	if c.closed || c.idle != nil && c.idleIn == &c.n.lingering {
 		return
 	}
+	c.noteEnd(why)
 	c.lingering = true
 	c.in.release()
 	c.in, c.more = nil, nil
@@ -211,26 +212,26 @@
 		return
 	}
 	if !c.finish() {
-		c.close()
+		c.close(endPeerClosed)
 		return
 	}
 	c.setIdle(false)
 	c.setIdle(true)
-	c.n.at(c.n.now()+lingerFor, c.close)
+	c.n.at(c.n.now()+lingerFor, func() { c.close(endLingered) })
 }
 
 // ended is called as the connection has closed, beside Run's goroutine.
 func (c *client) ended(n *Node) func() {
 	return func() {
 		c.endedAt.Store(n.now())
-		n.post(c.gone)
+		n.post(func() { c.gone(endPeerClosed) })
 	}
 }
 
 // gone is a connection that has ended.
-func (c *client) gone() {
+func (c *client) gone(why endReason) {
 	req := c.req
-	c.close()
+	c.close(why)
 	if c.req = nil; req != nil {
 		c.n.clientGone(req)
 	}
@@ -241,7 +242,7 @@
 	defer b.release()
 	if c.lingering && !c.closed {
 		if c.dropped += b.n; c.dropped > lingerBytes && !c.writing {
-			c.close()
+			c.close(endTooMuchInput)
 		}
 	}
 	if c.closed || c.lingering {
@@ -389,7 +390,7 @@
 		c.continued, c.writing = true, true
 		c.n.write(&c.socket, func(err error) {
 			if c.writing = false; err != nil {
-				c.close()
+				c.close(endWriteFailed)
 			} else if !c.closed {
 				c.advance(at)
 			}
@@ -422,7 +423,7 @@
 		}
 		return
 	}
-	if c.n.drain.late { // long after the call to leave: nobody may be held
+	if c.n.drain.late || c.n.drain.ending { // long after the call to leave: nobody may be held
 		c.last = true
 		c.reply(buf, 503, nil, []byte("not in service\n"), 0)
 		return
@@ -481,9 +482,9 @@
 		case err == nil && c.upload != nil && !c.upload.done:
 			c.afterEarly()
 		case err != nil:
-			c.close()
+			c.close(endWriteFailed)
 		case c.last:
-			c.shut()
+			c.shut(endLastAnswer)
 		default:
 			c.setIdle(true)
 			c.advance(c.n.now())
@@ -491,6 +492,11 @@
 	}, out, body)
 }
 
+// mayClose tells whether the connection may be ended between two requests, and if not, why: what has come, and waits to be read, asks for an answer.
+func (c *client) mayClose() permit.Reason {
+	return permit.Close{RequestOpen: c.req != nil || c.writing || c.upload != nil, Unread: c.unread() > 0 || !c.clean()}.Check()
+}
+
 // sweepClients ends what clients hold on to and do not use: connections that never ask, requests that begin and do
 // not come in whole, each of which holds a buffer too, and connections that stay after their last answer.
 func (n *Node) sweepClients() {
@@ -501,15 +507,16 @@
 			e = e.Next()
 			idle := now - c.idleSince
 			switch {
-			case c.writing || c.lingering || c.unread() > 0:
+			case c.lingering:
+			case c.mayClose() != permit.Allowed: // it asks in this moment
 			case c.in != nil && c.headAt == 0 && now-c.since >= askWithin,
 				c.in != nil && c.headAt > 0 && now-c.headAt >= bodyWithin+int64(float64(c.in.n)*1e6/(bodyRate*bodyMargin)):
 				c.refuse(408, "request not complete in time")
 			case c.in != nil:
 			case !c.asked && now-c.since >= askWithin, idle >= idleAtMost:
-				c.shut()
+				c.shut(endNotAsked)
 			case c.asked && idle >= idleLeast && n.sockets() > 0 && len(n.clients) > n.sockets()/3:
-				c.shut() // more than clients need for their requests, silent ones counted
+				c.shut(endTooManyIdle) // more than clients need for their requests, silent ones counted
 			}
 		}
 	}
@@ -521,7 +528,7 @@
 	for e := in.Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*client); n.now()-c.idleSince < least {
 			return nil
-		} else if c.unread() == 0 && !c.writing && c.clean() {
+		} else if c.mayClose() == permit.Allowed {
 			return c
 		}
 	}
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -27,7 +27,7 @@
 			out = tulipglade.Reset // what it says of its load could not be read
 		}
 		report := loadReport(&b.msg)
-		n.closeBackend(b)
+		n.closeBackend(b, endUnwantedBytes)
 		n.settle(a, out, report)
 		return
 	}
@@ -55,7 +55,7 @@
 		if file != nil {
 			_ = file.Close()
 		}
-		n.closeBackend(b)
+		n.closeBackend(b, endCutOff)
 		n.settle(a, tulipglade.Reset, nil)
 		return
 	}
@@ -70,7 +70,7 @@
 	report := loadReport(&msg)
 	if !n.end(r) {
 		in.release()
-		n.closeBackend(b)
+		n.closeBackend(b, endGivenUp)
 		n.settle(a, tulipglade.OK, report)
 		return
 	}
@@ -129,27 +129,27 @@
 	case c.last && c.upload != nil && !c.upload.done: // the request is still coming in
 		c.afterEarly()
 	case c.last:
-		c.shut()
+		c.shut(endLastAnswer)
 	default:
 		c.setIdle(true)
 		c.advance(n.now())
 	}
 	b.down = nil
 	if !clean || b.closed || b.file == nil {
-		n.closeBackend(b)
+		n.closeBackend(b, endNotKept)
 		return
 	}
 	conn, err := back(b.file)
 	if err != nil {
 		b.file = nil
-		n.closeBackend(b)
+		n.closeBackend(b, endNoHandling)
 		return
 	}
 	b.inside(conn)
 	b.msg = protocol.Message{}
 	b.onClose(func() { n.post(b.gone) })
 	if err := conn.SetOnRequest(b.input); err != nil || !conn.IsActive() {
-		n.closeBackend(b)
+		n.closeBackend(b, endNoHandling)
 		return
 	}
 	n.reuse(b)
@@ -160,7 +160,7 @@
 	if f, ok := c.conn.(interface{ Fd() int }); ok && untilClose && c.file == nil { // an end in order would look like that of the answer
 		_ = unix.SetsockoptLinger(f.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 	}
-	c.close()
+	c.close(endCutOff)
 }
 
 // heldMost bounds what is kept of a large answer to a request that is still being written. All of it has been written when
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"errors"
 	"time"
+
+	"tulipglade/internal/permit"
 )
 
 // A node leaves in one way, whoever asks it to: an operator's standby, which /active takes back, or the end of the
@@ -134,8 +136,8 @@
 		for e := l.Front(); e != nil; {
 			c := e.Value.(*client)
 			e = e.Next()
-			if (!c.isFresh() || n.drain.late) && c.in == nil && c.unread() == 0 && c.clean() {
-				c.shut()
+			if (!c.isFresh() || n.drain.late) && c.in == nil && c.mayClose() == permit.Allowed {
+				c.shut(endDrain)
 			}
 		}
 	}
@@ -148,11 +150,9 @@
 	if n.drain.drained == nil || n.open > 0 || n.writing > 0 || now < n.drain.partly && n.comingIn() {
 		return
 	}
-	if !n.drain.ending {
-		n.drain.ending = true
-		n.shutClients()
-	}
-	if now < n.drain.end && n.lingering.Len() > 0 {
+	n.drain.ending = true
+	asking := n.shutClients()
+	if now < n.drain.end && asking+n.lingering.Len() > 0 {
 		return
 	}
 	done := n.drain.drained
@@ -160,13 +160,19 @@
 	done()
 }
 
-// shutClients shuts all connections but those on which something is on its way still.
-func (n *Node) shutClients() {
+// shutClients shuts all connections but those on which something is on its way still, and returns how many of these there are. What has come before
+// its connection is shut is refused, not dropped.
+func (n *Node) shutClients() (asking int) {
 	for c := range n.clients {
-		if !c.writing && c.upload == nil {
-			c.shut()
+		switch {
+		case c.lingering:
+		case c.mayClose() == permit.Allowed:
+			c.shut(endDrain)
+		default:
+			asking++
 		}
 	}
+	return asking
 }
 
 // answerBy is by when a request whose last byte came at a time must have its answer: by its deadline, and in a stop before the process is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,7 +287,7 @@
 		if n.now()-b.idleSince < n.idleLimit() {
 			break
 		}
-		n.closeBackend(b)
+		n.closeBackend(b, endIdle)
 	}
 	n.sweepClients()
 	n.noteList()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -64,7 +64,11 @@
 	if change != nil {
 		change(&set)
 	}
-	n, err := New(set, silent{}, slog.New(slog.NewTextHandler(t.Output(), nil)))
+	level := &slog.HandlerOptions{Level: slog.LevelInfo}
+	if os.Getenv("TULIPGLADE_LOG") == "debug" { // a line for each step, where a failure is being traced
+		level.Level = slog.LevelDebug
+	}
+	n, err := New(set, silent{}, slog.New(slog.NewTextHandler(t.Output(), level)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -89,10 +89,10 @@
 			n.hostGone(h)
 		case h.addr != t.Endpoint || h.boot != t.BootMs: // another process
 			h.life++
-			n.closeIdleBackends(h)
+			n.closeIdleBackends(h, endOutdated)
 			h.addr = t.Endpoint
 		case t.State == protocol.Terminating: // it gets nothing new
-			n.closeIdleBackends(h)
+			n.closeIdleBackends(h, endOutdated)
 		}
 		h.boot, h.zone, h.cell, h.weight = t.BootMs, t.Zone, t.Cell, t.Weight
 		zone, ok := n.zones[t.Zone]
@@ -121,7 +121,7 @@
 func (n *Node) hostGone(h *host) {
 	h.goneAt = n.now()
 	h.life++
-	n.closeIdleBackends(h)
+	n.closeIdleBackends(h, endOutdated)
 }
 
 // forgetHosts drops the hosts that have been gone for long: every release brings new ones.
@@ -194,7 +194,7 @@
 		switch {
 		case h.rests(b, now):
 		case now-b.idleSince >= n.idleLimit() || !b.clean():
-			n.closeBackend(b) // idle for too long, closed, or with input that no request asked for
+			n.closeBackend(b, endNotClean) // idle for too long, closed, or with input that no request asked for
 		case now-b.idleSince < restFor:
 			fresh = b
 		default:
@@ -308,7 +308,7 @@
 	switch {
 	case b.closed:
 	case b.life != h.life || !b.clean() || h.state != protocol.InService && len(h.waiting) == 0:
-		n.closeBackend(b)
+		n.closeBackend(b, endNotClean)
 		n.supply(h)
 	default:
 		n.setIdle(b, true)
@@ -334,7 +334,7 @@
 		}
 	}
 	if h.state != protocol.InService {
-		n.closeIdleBackends(h)
+		n.closeIdleBackends(h, endOutdated)
 	}
 }
 
@@ -433,7 +433,7 @@
 		case r.upload != nil && err == nil && !b.answered && !b.hungUp && !r.done:
 			n.pump(b, a)
 		case r.upload != nil: // not all of it was written: it has never begun
-			n.closeBackend(b)
+			n.closeBackend(b, endNotWhole)
 			n.settle(a, tulipglade.ConnectFailed, nil)
 		default:
 			n.sent(b, a, err)
@@ -453,7 +453,7 @@
 		n.settle(a, tulipglade.Moot, nil)
 	}
 	if b.hungUp || b.in != nil {
-		n.closeBackend(b)
+		n.closeBackend(b, endNotClean)
 		n.supply(b.host)
 		return
 	}
@@ -468,9 +468,9 @@
 		b.written, b.answered = true, false
 		n.reuse(b)
 	case b.answered:
-		n.closeBackend(b)
+		n.closeBackend(b, endWriteFailed)
 	case err != nil: // not all of the request was written: it has never begun
-		n.closeBackend(b)
+		n.closeBackend(b, endWriteFailed)
 		n.settle(a, tulipglade.ConnectFailed, nil)
 	case b.hungUp && b.down != nil:
 		b.written = true
@@ -514,7 +514,7 @@
 	}
 	if b.att == nil { // nothing was asked
 		b.host.twiceTill = b.n.now() + idleTrust
-		b.n.closeBackend(b)
+		b.n.closeBackend(b, endUnasked)
 		b.n.supply(b.host)
 		return
 	}
@@ -544,7 +544,7 @@
 	if err := b.down.hold(p); err != nil {
 		a := b.down.att
 		b.n.warn("bad answer", "host", b.host.addr, "err", err)
-		b.n.closeBackend(b)
+		b.n.closeBackend(b, endBadAnswer)
 		b.n.settle(a, tulipglade.Reset, nil)
 	}
 }
@@ -558,7 +558,7 @@
 	switch {
 	case err != nil:
 		n.warn("bad answer", "host", b.host.addr, "err", err)
-		n.closeBackend(b)
+		n.closeBackend(b, endBadAnswer)
 		n.settle(a, tulipglade.Reset, nil) // it may have run
 	case whole:
 		b.finish(more > 0)
@@ -597,7 +597,7 @@
 	b.att, b.in = nil, nil
 	switch {
 	case !keep:
-		n.closeBackend(b)
+		n.closeBackend(b, endNotKept)
 	case b.written:
 		n.reuse(b)
 	default:
@@ -628,10 +628,10 @@
 	case b.down != nil && !b.down.held:
 		n.downloadBegins(b, nil, nil, nil)
 	case a == nil:
-		n.closeBackend(b)
+		n.closeBackend(b, endPeerClosed)
 		n.supply(b.host)
 	case !b.written && a.till == never && !b.allIn(): // the request was still coming in, and will never be whole
-		n.closeBackend(b)
+		n.closeBackend(b, endPeerClosed)
 		n.settle(a, tulipglade.ConnectFailed, nil)
 	case !b.written:
 		b.hungUp = true // whether all was written decides what this means
@@ -649,15 +649,16 @@
 		b.finish(false)
 		return
 	}
-	n.closeBackend(b)
+	n.closeBackend(b, endPeerClosed)
 	n.settle(a, tulipglade.Reset, nil)
 }
 
 // closeBackend ends a connection. An attempt on it must be settled by the caller.
-func (n *Node) closeBackend(b *backend) {
+func (n *Node) closeBackend(b *backend, why endReason) {
 	if b.closed {
 		return
 	}
+	b.noteEnd(why)
 	b.closed = true
 	n.setIdle(b, false)
 	n.descriptors--
@@ -673,9 +674,9 @@
 	}
 }
 
-func (n *Node) closeIdleBackends(h *host) {
+func (n *Node) closeIdleBackends(h *host, why endReason) {
 	for len(h.idle) > 0 {
-		n.closeBackend(h.idle[0])
+		n.closeBackend(h.idle[0], why)
 	}
 }
 
@@ -684,19 +685,19 @@
 func (n *Node) makeRoom(more int) bool {
 	for most := n.sockets(); most > 0 && n.descriptors+more > most-reserve; {
 		if c := n.idleClient(&n.fresh, freshFor); c != nil {
-			c.close()
+			c.close(endMakeRoom)
 		} else if c := n.idleClient(&n.idleClients, idleLeast); c != nil {
-			c.close()
+			c.close(endMakeRoom)
 		} else if c := n.idleClient(&n.lingering, 0); c != nil {
-			c.close()
+			c.close(endMakeRoom)
 		} else if e := n.idleBackends.Front(); e != nil {
-			n.closeBackend(e.Value.(*backend))
+			n.closeBackend(e.Value.(*backend), endMakeRoom)
 		} else if c := n.idleClient(&n.idleClients, 0); c != nil {
-			c.close()
+			c.close(endMakeRoom)
 		} else if c := n.idleClient(&n.fresh, 0); c != nil {
-			c.close()
+			c.close(endMakeRoom)
 		} else if e := n.lingering.Front(); e != nil {
-			e.Value.(*client).close()
+			e.Value.(*client).close(endMakeRoom)
 		} else {
 			return false
 		}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -165,7 +165,7 @@
 func (n *Node) withhold(r *request) {
 	for _, a := range r.attempts {
 		if b := a.backend; !a.over && b != nil && b.att == a && !b.written && b.down == nil && a.till != never {
-			n.closeBackend(b)
+			n.closeBackend(b, endWithheld)
 			n.settle(a, tulipglade.Cancelled, nil)
 		}
 	}
@@ -194,7 +194,7 @@
 	if r.client == nil || !r.client.hasEnded() {
 		return false
 	}
-	n.later = append(n.later, r.client.gone)
+	n.later = append(n.later, func() { r.client.gone(endPeerClosed) })
 	return true
 }
 
@@ -280,7 +280,7 @@
 // giveUp ends an attempt that is still out. What never had a connection has never run.
 func (n *Node) giveUp(a *attempt, outcome tulipglade.Outcome) {
 	if b := a.backend; b != nil {
-		n.closeBackend(b)
+		n.closeBackend(b, endGivenUp)
 	} else {
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
 		if outcome == tulipglade.TimedOut {
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"tulipglade/internal/protocol"
 )
@@ -117,7 +118,7 @@
 	ended := make(chan struct{})
 	on(n, func() {
 		n.leave("draining")
-		n.idleClients.Front().Value.(*client).shut()
+		n.idleClients.Front().Value.(*client).shut(endDrain)
 		n.drain.end = n.now() + 3_600_000_000
 		n.drain.drained = func() { close(ended) }
 		n.checkDrained()
@@ -353,15 +354,18 @@
 // would not be heard, and the other's answer be reset.
 func TestStopWaitsForWhoIsAboutToAsk(t *testing.T) {
 	n, addr := start(t, newApp(t, serve).targets(), nil)
-	ended := make(chan struct{})
-	n.Drain(0, func() { close(ended) })
-	age(n, drainCloses)
 	conn := dial(t, addr)
-	until(n, func() bool { return len(n.clients) == 1 && n.drain.drained != nil })
-	on(n, func() {
+	until(n, func() bool {
 		for c := range n.clients {
 			c.since = n.now() + 3_600_000_000 // it stays one that has just come
 		}
+		return len(n.clients) == 1
+	})
+	ended := make(chan struct{})
+	n.Drain(0, func() { close(ended) })
+	age(n, drainCloses)
+	until(n, func() bool { return n.drain.drained != nil })
+	on(n, func() {
 		if n.checkDrained(); n.drain.ending {
 			t.Error("does not wait")
 		}
@@ -372,6 +376,35 @@
 	<-ended
 }
 
+// A client that connects as a stop ends, and has asked before its connection could be shut, is refused: to drop what it sent would lose it.
+func TestWhoAsksAsAStopEndsIsRefused(t *testing.T) {
+	n, addr := start(t, newApp(t, serve).targets(), nil)
+	ended := make(chan struct{})
+	var conn *caller
+	ending := false
+	on(n, func() { // the loop is at work as the client comes and asks
+		n.leave("draining")
+		n.drain.stopping, n.drain.ending = true, true
+		n.drain.drained, n.drain.end = func() { close(ended) }, n.now()+3_600_000_000
+		conn = dial(t, addr)
+		_, _ = io.WriteString(conn, text("once", 9000))
+		raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		for unsent := 1; unsent > 0; { // until the node's system has it
+			_ = raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+		}
+		ending = true
+	})
+	if code, _, closing := conn.answer(); !ending || code != 503 || !closing {
+		t.Errorf("%d, closing %v", code, closing)
+	}
+	_ = conn.Close()
+	<-ended
+}
+
 func TestStopWaitsForAnEarlyAnsweredUpload(t *testing.T) {
 	body := noiseOf(1, 4<<20)
 	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -43,7 +43,7 @@
 		if file != nil {
 			_ = file.Close()
 		}
-		c.gone()
+		c.gone(endNoHandling)
 		return
 	}
 	c.outside(file)
@@ -54,7 +54,7 @@
 	u.tail = msg.Tail()
 	c.last = c.last || !msg.KeepAlive
 	c.old, c.headOnly, c.headAt = msg.OldVersion(), false, 0
-	if n.drain.late || n.flows >= n.flowsMost() {
+	if n.drain.late || n.drain.ending || n.flows >= n.flowsMost() {
 		c.reply(buf, 503, nil, []byte("no room for a large request\n"), 0)
 		return
 	}
@@ -81,7 +81,7 @@
 	f.broken = func() {
 		n.post(func() {
 			if !a.over { // not all of it was written: it has never begun
-				n.closeBackend(b)
+				n.closeBackend(b, endWriteFailed)
 				n.settle(a, tulipglade.ConnectFailed, nil)
 			}
 		})
@@ -157,7 +157,7 @@
 	case c.closed:
 	case err != nil && r == nil: // answered already
 		if !c.writing {
-			c.close()
+			c.close(endNotWhole)
 		}
 	case err == nil:
 		c.cameWhole(rest)
@@ -171,7 +171,7 @@
 		n.answer(r, nil, status, nil, []byte(err.Error()+"\n"), 0)
 		n.bal.Gone(n.now(), r.id)
 	default:
-		c.gone()
+		c.gone(endPeerClosed)
 	}
 	if err != nil && a != nil && !a.over {
 		n.giveUp(a, tulipglade.ConnectFailed)
@@ -181,7 +181,7 @@
 // cameWhole returns the connection to the poller, with what came behind the request.
 func (c *client) cameWhole(rest []byte) {
 	if c.last && c.req == nil && !c.writing {
-		c.shut()
+		c.shut(endLastAnswer)
 		return
 	}
 	if c.writing { // an early answer is on its way through the descriptor; the connection closes behind it
@@ -208,13 +208,13 @@
 	conn, err := back(c.file)
 	c.upload = nil
 	if err != nil {
-		c.gone()
+		c.gone(endNoHandling)
 		return false
 	}
 	c.inside(conn)
 	c.onClose(c.ended(c.n))
 	if err := conn.SetOnRequest(c.input); err != nil || !conn.IsActive() {
-		c.n.post(c.gone)
+		c.n.post(func() { c.gone(endPeerClosed) })
 	}
 	return true
 }
