Take connections that leave the poller out of its set also where netpoll does not

Where Close comes in the moment in which a handler of input is done (onProcess, between its last look at the state and its unlock), the handler's goroutine runs the callbacks and does not detach the descriptor. We duplicate it there, so the system kept the entry: the poller went on to read what was the upload's (408 after 3 s with 65,537 or 77,824 bytes sent and none left anywhere), or refused the descriptor as it came back (epoll: file exists), and the client's connection ended with its request taken and no answer.

Change: detach, before anything is read past the poller; twice does no harm. The poller is passed twice, as a first byte may come with one of another connection's that overtook an event at hand. Both failures are warnings with their errors.

--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -14,6 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+
 	"tulipglade/internal/protocol"
 )
 
@@ -393,3 +396,38 @@
 	_ = flood.Close()
 	until(n, func() bool { return n.kept == 0 })
 }
+
+// A connection that leaves the poller is out of its set, also where netpoll has run the callbacks of its end without seeing to that: what comes then is
+// for whoever reads on, and the descriptor can come back.
+func TestDetachedConnectionIsNotRead(t *testing.T) {
+	for name, leaves := range map[string]bool{"detached": true, "still in the poller's set": false} {
+		t.Run(name, func(t *testing.T) {
+			fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = unix.Close(fds[1]) }()
+			conn, err := netpoll.NewFDConnection(fds[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if leaves {
+				if err := detach(conn); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := unix.Write(fds[1], []byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			for range 2 {
+				if err := thePoller.pass(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if read := conn.Reader().Len() > 0; read == leaves {
+				t.Errorf("the poller has read: %v", read)
+			}
+		})
+	}
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -41,10 +42,17 @@
 	if !ok {
 		return nil, nil, errors.New("a connection without a descriptor")
 	}
+	if err := detach(conn); err != nil {
+		return nil, nil, err
+	}
 	// It is out of the poller's set now, but an event of before may be at hand still. Where the poller itself has ended
-	// the connection, it has done with it (and waits for us).
+	// the connection, it has done with it (and waits for us). The first byte through the poller may come with somebody else's that had
+	// overtaken such an event, the second can't.
 	ended := s.hup.Load()
-	if !ended {
+	for range 2 {
+		if ended {
+			break
+		}
 		if err := thePoller.pass(); err != nil {
 			return nil, nil, err
 		}
@@ -70,6 +78,26 @@
 	return os.NewFile(uintptr(fd), "connection"), rest, nil
 }
 
+// errNoOperator is a connection of netpoll's in another form than this package knows.
+var errNoOperator = errors.New("netpoll: a connection without an operator")
+
+// detach takes a connection that is closing out of the poller's set. netpoll does so itself but for one case: where Close comes in the moment in
+// which a handler of input has done (onProcess, between its last look at the state and its unlock), the handler's goroutine runs the callbacks
+// and takes the connection for one that the poller has ended. With its descriptor duplicated, as here, the system keeps the
+// entry: the poller would go on to read what is another reader's, and refuse the descriptor when it comes back (EEXIST). To detach
+// twice does no harm.
+func detach(conn netpoll.Connection) error {
+	v := reflect.ValueOf(conn)
+	if v.Kind() != reflect.Pointer || v.Elem().Kind() != reflect.Struct {
+		return errNoOperator
+	}
+	field := v.Elem().FieldByName("operator")
+	if !field.IsValid() || field.Type() != reflect.TypeFor[*netpoll.FDOperator]() || field.IsNil() {
+		return errNoOperator
+	}
+	return (*netpoll.FDOperator)(field.UnsafePointer()).Control(netpoll.PollDetach)
+}
+
 // behind counts what the poller has set off and the rest of the node has not seen to: handlers at work, pieces of input on
 // their way to Run's goroutine, connections about to leave.
 var behind atomic.Int64
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -39,6 +39,9 @@
 
 // uploadBegins takes the request in, or refuses it.
 func (c *client) uploadBegins(file *os.File, rest []byte, err error) {
+	if err != nil {
+		c.n.warn("connection could not leave the poller", "err", err)
+	}
 	if err != nil || c.closed || file == nil {
 		if file != nil {
 			_ = file.Close()
@@ -208,6 +211,7 @@
 	conn, err := back(c.file)
 	c.upload = nil
 	if err != nil {
+		c.n.warn("connection could not rejoin the poller", "err", err)
 		c.gone(endNoHandling)
 		return false
 	}
