--- a/cmd/tulipglade/fleet_test.go
+++ b/cmd/tulipglade/fleet_test.go
@@ -25,7 +25,8 @@
 // TestMain is the program itself where a test has started it as one.
 func TestMain(m *testing.M) {
 	if os.Getenv("TULIPGLADE_TEST_RUN") != "" {
-		files := syscall.Rlimit{Cur: descriptors, Max: descriptors} // as the platform does
+		most := uint64(number("TULIPGLADE_TEST_FILES", descriptors))
+		files := syscall.Rlimit{Cur: most, Max: most} // as the platform does
 		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
