Place what waited as a refused call frees the list, call sooner, and test the lease

TestNothingIsSentByAListOfUnknownAge found that requests held for word of the list went on waiting after a refusal.

Change: a refusal counts as of its arrival, the first call comes within 0.5 s, and a refused call places what waits. Tests of permit, freshness, the module's lease, readiness, attempts that are held up, and the audit; each seen to fail with its guard out.

--- a/balancer.go
+++ b/balancer.go
@@ -44,7 +44,7 @@
 	badSuspect     = 0.1       // and with more than this, it gets nothing that could not be repeated
 	badUsual       = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
 	askFirst       = 0.5       // of the longest silence may pass before the first call to discovery
-	askFirstLeased = 1.0 / 3   // of ToldWithin, the same where nothing is sent before the answer
+	askFirstLeased = 1.0 / 12  // of ToldWithin, the same where nothing is sent before the answer
 	askEach        = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
 	askLatest      = 0.5       // of ToldWithin goes by at most until the call after one that failed
 	askAnew        = 0.1       // and after one that was not answered at all
@@ -693,6 +693,7 @@
 		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told, ListBusy: busy}[kind]
 		b.askAgain(min(max(float64(b.period)/4, b.askSpread())*math.Exp2(float64(b.askFails)), most))
 		b.askFails = min(b.askFails+1, ejectMost)
+		b.release() // what waited for word of the list
 		return
 	case ListDelta, ListFull:
 		b.watching, b.askFails = true, 0
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -34,8 +34,8 @@
 type listener interface {
 	// MembersAsOf is an answer that held at a time.
 	MembersAsOf(l protocol.List, asOf time.Time)
-	// MembersFailed is a call that has failed. It had begun at a time.
-	MembersFailed(err error, how tulipglade.ListKind, began time.Time)
+	// MembersFailed is a call that has failed. Nothing newer could be had as of a time.
+	MembersFailed(err error, how tulipglade.ListKind, asOf time.Time)
 	// Moved tells that what was heard before counts for so long at most.
 	Moved(within time.Duration)
 }
@@ -240,7 +240,11 @@
 // tell passes on what a call to discovery at addr has brought, which began at a time and was to wait for so long.
 func (w *watch) tell(addr string, l protocol.List, began time.Time, wait time.Duration, err error) {
 	if err != nil {
-		w.to.MembersFailed(err, how(err), began)
+		asOf := time.Now() // it was refused in this moment
+		if errors.Is(err, errSilent) {
+			asOf = began
+		}
+		w.to.MembersFailed(err, how(err), asOf)
 		return
 	}
 	var asOf time.Time // an answer of the address left behind says nothing of the list at the new one
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -40,7 +40,7 @@
 }
 
 // Note takes in what a call has shown: that the list was current, or that nothing newer could be had, as of a time. For an answer that is the time at
-// which it arrived, and no later than the call was to wait; for all else, that at which the call began.
+// which it arrived, and no later than the call was to wait; for a refusal, that at which it came; where nothing came, that at which the call began.
 func (l *Lease) Note(evidence Evidence, asOf Time) {
 	if evidence == Silent {
 		if l.silent++; l.silent < silentMost {
--- a/internal/node/buffer.go
+++ b/internal/node/buffer.go
@@ -223,7 +223,7 @@
 // writeSoon is write where the first byte must follow soon: what is held up before that is not written at all. It tells when the first byte
 // was about to be written.
 func (n *Node) writeSoon(s *socket, done func(began int64, err error), parts ...[]byte) {
-	allowed := n.now()
+	allowed := n.now() - n.heldUp
 	go func() {
 		began, err := n.now(), error(nil)
 		if began-allowed > heldUpMost {
--- /dev/null
+++ b/internal/node/list_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"tulipglade"
+	"tulipglade/internal/permit"
+	"tulipglade/internal/protocol"
+)
+
+// leased has the node send nothing by a list of unknown age.
+func leased(s *Settings) {
+	s.Module.AskDiscovery, s.Module.AskEvery, s.Module.ListLease = true, 10_000_000, tulipglade.ToldWithin
+	s.DrainGrace = 500_000
+}
+
+// A process that has just started takes clients once it has word of its list, whatever that is, or nobody could give it any for a while.
+func TestReadyWithWordOfTheList(t *testing.T) {
+	app := newApp(t, serve)
+	for name, word := range map[string]func(*Node){
+		"an answer": func(n *Node) { n.Members(protocol.List{Rev: 1}, false) },
+		"a refusal": func(n *Node) { n.MembersFailed(errors.New("refused"), tulipglade.ListFailed, n.epoch) },
+		"no word": func(n *Node) {
+			on(n, func() { n.list.since -= readyWithin })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, addr := start(t, app.targets(), leased)
+			conn := dial(t, addr)
+			if code, _, _ := conn.ask(ready); code != 503 {
+				t.Errorf("before: %d", code)
+			}
+			word(n)
+			on(n, func() {}) // it has been heard
+			if code, _, _ := conn.ask(ready); code != 200 {
+				t.Errorf("after: %d", code)
+			}
+			on(n, func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()) })
+			if code, _, _ := conn.ask(ready); code != 200 {
+				t.Errorf("with a list that has become too old: %d", code)
+			}
+		})
+	}
+}
+
+// An attempt that was held up between its check and its first byte is checked again: it goes out once it is not held up any more, and not at all if
+// its backend drains by then.
+func TestHeldUpAttemptIsCheckedAgain(t *testing.T) {
+	for name, drains := range map[string]bool{"still allowed": false, "its backend drains": true} {
+		t.Run(name, func(t *testing.T) {
+			app := newApp(t, serve)
+			n, addr := start(t, app.targets(), nil)
+			conn := dial(t, addr)
+			conn.ask(text("read", 9000))
+			until(n, func() bool { return n.idleBackends.Len() == 1 && len(n.requests) == 0 }) // so that no connection is waited for
+			ends := &endings{module: n.bal}
+			on(n, func() { n.bal, n.heldUp = ends, 2*heldUpMost })
+			_, _ = io.WriteString(conn, text("once", 9000))
+			until(n, func() bool { return len(n.requests) == 1 && n.requests[2].out == 1 })
+			if !drains {
+				on(n, func() { n.heldUp = 0 })
+				if code, body, _ := conn.answer(); code != 200 || body != "body of /once" {
+					t.Errorf("%d %q", code, body)
+				}
+				return
+			}
+			targets := app.targets()
+			targets[0].State = protocol.Terminating
+			n.Members(protocol.List{Rev: 1, Targets: targets}, false)
+			until(n, func() bool { return len(ends.outcomes) > 0 })
+			if ends.outcomes[0] != tulipglade.Moot || app.seen.Load() > 1 {
+				t.Errorf("ended as %v, %d requests at the backend", ends.outcomes, app.seen.Load())
+			}
+		})
+	}
+}
+
+// What must not happen is counted at the moment of the first byte, whatever decided it.
+func TestFirstBytesAreAudited(t *testing.T) {
+	n, _ := start(t, newApp(t, serve).targets(), leased)
+	on(n, func() {
+		now := n.now()
+		h := &host{addr: "h"}
+		r := &request{set: n.set, client: &client{n: n}, deadline: now + 1_000_000}
+		a := &attempt{req: r, host: h, till: r.deadline}
+		fine := firstByte{at: now, told: 1_000_000, lease: now}
+		for _, c := range []struct {
+			name   string
+			change func(*firstByte)
+			want   permit.Reason
+		}{
+			{"as it should be", func(*firstByte) {}, permit.Allowed},
+			{"backend left", func(*firstByte) { h.leftAt = now - n.set.DrainGrace - auditSlack - 1 }, permit.BackendLeaving},
+			{"list too old", func(f *firstByte) { f.lease = now - n.set.DrainGrace - auditSlack - 1 }, permit.ListStale},
+			{"client gone", func(*firstByte) { r.client.endedAt.Store(now - goneMost - 1) }, permit.ClientGone},
+			{"more time than is left", func(f *firstByte) { f.told += deadlineSlack + 1 }, permit.DeadlinePassed},
+		} {
+			clear(n.violations)
+			h.leftAt = 0
+			r.client.endedAt.Store(0)
+			f := fine
+			c.change(&f)
+			n.audit(a, f)
+			if want := map[permit.Reason]int{c.want: 1}; c.want == permit.Allowed && len(n.violations) > 0 || c.want != permit.Allowed && n.violations[c.want] != want[c.want] {
+				t.Errorf("%s: counted %v", c.name, n.violations)
+			}
+		}
+		clear(n.violations)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,8 @@
 	drain                   drain
 	shared                  int // processes that are this node; 0: one
 	violations              map[permit.Reason]int
-	tracing                 bool // a line for each step of each request
+	tracing                 bool  // a line for each step of each request
+	heldUp                  int64 // by so much every first byte is late, in tests
 }
 
 // New returns a Node that has not started. Run must be called before anything else has an effect.
@@ -340,11 +341,11 @@
 	})
 }
 
-// MembersFailed tells that a call to discovery has failed, and how: ListFailed, ListSilent or ListBusy. It had begun at a time.
-func (n *Node) MembersFailed(err error, how tulipglade.ListKind, began time.Time) {
+// MembersFailed tells that a call to discovery has failed, and how: ListFailed, ListSilent or ListBusy. Nothing newer could be had as of a time.
+func (n *Node) MembersFailed(err error, how tulipglade.ListKind, asOf time.Time) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		n.bal.MembersAsOf(n.now(), n.timeOf(began), how, nil)
+		n.bal.MembersAsOf(n.now(), n.timeOf(asOf), how, nil)
 		n.noteList()
 	})
 }
--- /dev/null
+++ b/lease_test.go
@@ -0,0 +1,100 @@
+package tulipglade
+
+import (
+	"testing"
+
+	"tulipglade/internal/permit"
+)
+
+// leased are settings under which nothing is sent by a list of unknown age.
+func leased() Config {
+	cfg := settings()
+	cfg.ListLease, cfg.AskDiscovery = ToldWithin, true
+	return cfg
+}
+
+// Nothing is sent by a list of which nothing is known but that it was once so. A request waits for word, and goes out as that comes.
+func TestNothingIsSentByAListOfUnknownAge(t *testing.T) {
+	for name, word := range map[string]ListKind{"an answer": ListDelta, "a refusal": ListFailed, "too many callers": ListBusy,
+		"no answer to the first call": ListSilent} {
+		g := start(t, leased(), hosts(4)...)
+		g.request(1, 0, 0)
+		g.run(20 * ms)
+		if len(g.tries[1]) > 0 {
+			t.Errorf("%s: sent before it", name)
+		}
+		g.b.MembersAsOf(g.now, g.now, word, nil)
+		if len(g.tries[1]) != 1 {
+			t.Errorf("%s: %d attempts behind it", name, len(g.tries[1]))
+		}
+	}
+}
+
+// An answer lets requests be sent for as long as a change may take to count as notified, from the time as of which it held; so does no list of
+// the configuration's, and no watch that has fallen silent.
+func TestLeaseEndsAndIsRenewed(t *testing.T) {
+	g := start(t, leased(), hosts(4)...)
+	heard := g.now
+	g.b.MembersAsOf(g.now, heard, ListDelta, nil)
+	sent := func(id ReqID) bool {
+		g.request(id, 0, 0)
+		defer g.b.Gone(g.now, id)
+		return len(g.tries[id]) > 0
+	}
+	g.run(ToldWithin - 10*ms)
+	if !sent(1) {
+		t.Error("not sent while the lease holds")
+	}
+	g.b.MembersAsOf(g.now, g.now, ListSilent, nil)
+	g.b.MembersAsOf(g.now, g.now, ListCached, hosts(4))
+	if g.run(heard + ToldWithin - g.now); sent(2) {
+		t.Error("sent after the end of the lease")
+	}
+	if current, until := g.b.ListCurrent(g.now); current || until != heard+ToldWithin {
+		t.Errorf("current %v, until %d", current, until)
+	}
+	if g.b.MembersAsOf(g.now, g.now, ListFailed, nil); !sent(3) {
+		t.Error("not sent though nothing newer could be had")
+	}
+	g.b.ListMustBeHeardAnew(g.now, g.now+100*ms)
+	if g.run(100 * ms); sent(4) {
+		t.Error("sent by what was heard before a move of discovery")
+	}
+}
+
+// An attempt that has waited for its connection is not begun by a list that has become too old meanwhile.
+func TestAttemptDoesNotBeginByAnOldList(t *testing.T) {
+	cfg := leased()
+	cfg.Classes[0].Aim, cfg.Classes[0].Deadline = 2*ToldWithin, 2*ToldWithin
+	g := start(t, cfg, hosts(4)...)
+	g.b.MembersAsOf(g.now, g.now, ListDelta, nil)
+	if g.request(1, 0, 0); len(g.tries[1]) != 1 {
+		t.Fatal("not sent")
+	}
+	if why := g.b.MayBegin(g.now, 1, 0); why != permit.Allowed {
+		t.Error(why)
+	}
+	if why := g.b.MayBegin(g.now+ToldWithin, 1, 0); why != permit.ListStale {
+		t.Errorf("%v, want %v", why, permit.ListStale)
+	}
+}
+
+// Where nothing is sent before the answer, hundreds that start together call within half a second, and again within 3 s after having been turned away:
+// a list that is not asked for is too old before it is told.
+func TestCallsComeBeforeTheListIsTooOld(t *testing.T) {
+	cfg := leased()
+	cfg.Peers = 300
+	for seed := range uint64(50) {
+		g := startSeed(t, seed, cfg, hosts(4)...)
+		began := g.now
+		g.run(ToldWithin)
+		if g.asked == 0 || g.firstAsk-began > ToldWithin/12 {
+			t.Fatalf("seed %d: first call after %d us", seed, g.firstAsk-began)
+		}
+		g.b.MembersAsOf(g.now, g.now, ListBusy, nil)
+		g.asked = 0
+		if g.run(ToldWithin/2 + 10*ms); g.asked == 0 {
+			t.Fatalf("seed %d: no call %d us after too many callers", seed, ToldWithin/2)
+		}
+	}
+}
