--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1371,7 +1371,7 @@
 	}
 	g.b.byID[1].bad, g.b.byID[1].limit = 0.3, 17
 	before := g.b.byID[4].tokens
-	m := g.b.Export()
+	m := g.b.Export(g.now)
 	if now := g.b.byID[4].tokens; now != before/2 || m.Hosts[4].Tokens != before/2 {
 		t.Errorf("of %v tokens one has %v and the other %v", before, now, m.Hosts[4].Tokens)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -778,3 +778,75 @@
 		t.Error(err)
 	}
 }
+
+// A discovery that takes longer for an answer than one call waits is heard all the same: the next calls wait longer, until it has been.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	waited := make(chan bool, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(300 * time.Millisecond):
+			waited <- true
+			fmt.Fprint(w, `{"rev":42,"all":false,"targets":[]}`)
+		case <-r.Context().Done():
+			waited <- false
+		}
+	}))
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	to := make(heard, 10)
+	w := newWatch(srv.Listener.Addr().String(), 41)
+	w.to, w.slack, w.pause = to, 200*time.Millisecond, time.Millisecond
+	w.Observe(true)
+	to.want(t, "silent")
+	w.Observe(true)
+	to.want(t, "list 42 false")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.unheard != 0 {
+		t.Errorf("%d calls count as unheard after one that was answered", w.unheard)
+	}
+}
+
+// moves notes what a watch tells of a move, and as of when answers held.
+type moves struct {
+	heard
+	moved chan time.Duration
+	asOf  chan time.Time
+}
+
+func (m moves) Moved(within time.Duration)                  { m.moved <- within }
+func (m moves) MembersAsOf(_ protocol.List, asOf time.Time) { m.asOf <- asOf }
+
+// A move of discovery is told at once, also before the first call: what was heard before counts for 4 s at most. An answer of the address left behind
+// says nothing of the list at the new one, and one that comes late says no more than it could have when it was due.
+func TestMoveAndLateAnswersAreTold(t *testing.T) {
+	to := moves{make(heard, 10), make(chan time.Duration, 1), make(chan time.Time, 1)}
+	w := newWatch("127.0.0.1:1", 41)
+	w.to = to
+	w.Move("127.0.0.1:2")
+	if len(to.moved) == 0 { // it is told within the call
+		t.Fatal("a move is not told")
+	}
+	if got := <-to.moved; got != movedWithin {
+		t.Errorf("told to count for %v", got)
+	}
+	w.Move("127.0.0.1:2") // it is there already
+	if len(to.moved) > 0 {
+		t.Error("told again without a move")
+	}
+	began := time.Now().Add(-10 * time.Second)
+	for _, c := range []struct {
+		name, addr string
+		want       time.Time
+	}{{"late", "127.0.0.1:2", began.Add(time.Second + answerSpare)}, {"of the address left behind", "127.0.0.1:1", time.Time{}}} {
+		w.tell(c.addr, protocol.List{Rev: 42}, began, time.Second, nil)
+		if got := <-to.asOf; !got.Equal(c.want) {
+			t.Errorf("%s: as of %v, want %v", c.name, got, c.want)
+		}
+	}
+	before := time.Now()
+	w.tell("127.0.0.1:2", protocol.List{Rev: 43}, before, time.Hour, nil)
+	if got := <-to.asOf; got.Before(before) || got.After(time.Now()) {
+		t.Errorf("a prompt answer: as of %v", got)
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -90,8 +90,12 @@
 	on      bool
 	wanted  bool      // the last that Observe was told; on ends with a failure, this does not
 	began   time.Time // the last call of a watch
+	unheard int       // calls in a row that were to be answered at once and were given up
 }
 
+// slowestDoublings bounds how far the time for an answer grows: discovery that takes longer than one call waits would never be heard.
+const slowestDoublings = 2
+
 func newWatch(addr string, rev int64) *watch {
 	return &watch{addr: addr, rev: rev, moved: make(chan struct{}), turn: callTurn,
 		wait: watchWait, slack: callSlack, over: watchSlack, vary: watchWait / 2, pause: callPause}
@@ -185,6 +189,9 @@
 			c, waits = newCall(w.addr, w.moved), false
 		}
 		rev, whole, slack, wait := w.rev, w.whole, w.slack, time.Duration(0)
+		if w.lost == nil {
+			slack <<= min(w.unheard, slowestDoublings)
+		}
 		if waits && !whole {
 			wait, slack = w.wait-rand.N(w.vary+1), w.over
 		}
@@ -202,6 +209,7 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
+		w.noteAnswer(wait, err)
 		if err != nil && !errors.Is(err, errSilent) && !errors.Is(err, errBadList) && wait == 0 && time.Since(began) >= w.turn {
 			err = fmt.Errorf("%w: %w", errBusy, err)
 		}
@@ -233,6 +241,18 @@
 	}
 }
 
+// noteAnswer counts calls that were to be answered at once and were not at all. A watch that falls silent was lost, not slow.
+func (w *watch) noteAnswer(wait time.Duration, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !errors.Is(err, errSilent):
+		w.unheard = 0
+	case wait == 0:
+		w.unheard++
+	}
+}
+
 // errNoBackends is a whole list with nothing on it. A discovery that has only just started may answer so; to
 // believe it would empty the fleet.
 var errNoBackends = errors.New("no backends on a whole list")
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -39,7 +39,7 @@
 				h.IDs[string(r.msg.Get("x-trace-id"))] = till
 			}
 		}
-		h.Learned = n.bal.Export()
+		h.Learned = n.bal.Export(n.now())
 		to(h)
 	})
 }
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -1,10 +1,13 @@
 package node
 
+import "github.com/cespare/xxhash/v2"
+
 // listState is what the node has said of the age of its list of backends.
 type listState struct {
 	since   int64 // when the process started
 	heard   bool  // requests have been sent by the list, or might have been
 	stale   bool  // they are not now, and a line says so
+	moved   bool  // discovery has: versions of another may be lower and yet newer
 	staleAt int64
 }
 
@@ -35,3 +38,34 @@
 	current, _ := n.bal.ListCurrent(n.now())
 	return current || n.list.heard || n.now()-n.list.since >= readyWithin
 }
+
+// tombstonesMost bounds the hosts that are remembered only as gone.
+const tombstonesMost = 4096
+
+// tombstones are hosts that have been gone for so long that nothing else is kept of them: a list that is older than the last must not bring them
+// back, however late it comes. The oldest are dropped first.
+type tombstones struct {
+	boots map[uint64]int64 // when the host's last process started, by the hash of its id
+	order []uint64
+}
+
+func (t *tombstones) add(uid string, boot int64) {
+	if t.boots == nil {
+		t.boots = map[uint64]int64{}
+	}
+	key := xxhash.Sum64String(uid)
+	if _, there := t.boots[key]; !there {
+		t.order = append(t.order, key)
+	}
+	t.boots[key] = boot
+	if len(t.order) > tombstonesMost {
+		delete(t.boots, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// has tells whether a host is known to have gone, and has not started again since.
+func (t *tombstones) has(uid string, boot int64) bool {
+	last, there := t.boots[xxhash.Sum64String(uid)]
+	return there && boot <= last
+}
--- a/internal/node/list_test.go
+++ b/internal/node/list_test.go
@@ -110,3 +110,46 @@
 		clear(n.violations)
 	})
 }
+
+// The answer of a discovery that is behind says nothing of what is current, unless discovery has moved: another's versions may be lower.
+func TestOldAnswerRenewsNoLease(t *testing.T) {
+	n, _ := start(t, newApp(t, serve).targets(), leased)
+	n.Members(protocol.List{Rev: 9}, false)
+	on(n, func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()) })
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"behind", func() { n.Members(protocol.List{Rev: 8}, false) }, false},
+		{"the same", func() { n.Members(protocol.List{Rev: 9}, false) }, true},
+		{"moved", func() { n.Moved(0) }, false},
+		{"lower versions there", func() { n.Members(protocol.List{Rev: 1}, false) }, true},
+	} {
+		step.do()
+		on(n, func() {
+			if current, _ := n.bal.ListCurrent(n.now()); current != step.want {
+				t.Errorf("%s: current %v", step.name, current)
+			}
+		})
+	}
+}
+
+// No probe goes out by a list of unknown age either.
+func TestNoProbeByAnOldList(t *testing.T) {
+	n, _ := start(t, newApp(t, serve).targets(), func(s *Settings) {
+		leased(s)
+		s.Module.MayProbe = true
+	})
+	on(n, func() {
+		if n.Probe(1); n.hosts[1].dials > 0 {
+			t.Error("probed")
+		}
+	})
+	n.Members(protocol.List{Rev: 1}, false)
+	on(n, func() {
+		if n.Probe(1); n.hosts[1].dials != 1 {
+			t.Error("not probed by a list that is current")
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	Gone(now tulipglade.Time, id tulipglade.ReqID)
 	Wake(now tulipglade.Time, t tulipglade.Token)
 	Retune(now tulipglade.Time, cfg tulipglade.Config, classes, tenants []int) error
-	Export() tulipglade.Memory
+	Export(now tulipglade.Time) tulipglade.Memory
 	Import(now tulipglade.Time, m tulipglade.Memory)
 	Share(processes int)
 }
@@ -96,6 +96,7 @@
 	flowQueue               []func()
 	kept                    int // bytes that clients have sent behind a request that is not answered
 	hosts                   map[tulipglade.HostID]*host
+	forgotten               tombstones
 	byUID                   map[string]*host
 	lastHost                tulipglade.HostID
 	rev                     int64          // the latest version of the list of backends
@@ -328,6 +329,9 @@
 		if cached {
 			kind = tulipglade.ListCached
 		}
+		if l.Rev < n.rev && !n.list.moved {
+			asOf = time.Time{} // a list that is older than the last says nothing of what is current
+		}
 		hosts, kind := n.merge(l, kind)
 		if cached || len(hosts) > 0 {
 			n.log.Info("backends", "rev", l.Rev, "all", l.All, "cached", cached, "entries", len(hosts))
@@ -352,5 +356,8 @@
 
 // Moved tells that discovery has another address from now on: what was heard at the one before counts for so long at most.
 func (n *Node) Moved(within time.Duration) {
-	n.post(func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()+within.Microseconds()) })
+	n.post(func() {
+		n.list.moved = true
+		n.bal.ListMustBeHeardAnew(n.now(), n.now()+within.Microseconds())
+	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -786,6 +786,13 @@
 		if diff := cmp.Diff(want, got); diff != "" || kind != tulipglade.ListDelta {
 			t.Errorf("kind %d\n%s", kind, diff)
 		}
+		n.byUID["gone"].goneAt = n.now() - hostKept // long ago
+		if n.forgetHosts(); n.byUID["gone"] != nil {
+			t.Error("not forgotten")
+		}
+		if got, _ = n.merge(protocol.List{Rev: 9, Targets: []protocol.Target{entry("gone", 0, 5)}}, tulipglade.ListDelta); len(got) != 0 {
+			t.Errorf("brought back after it had been forgotten: %v", got)
+		}
 		if got, kind = n.merge(protocol.List{Rev: 12, All: true, Targets: []protocol.Target{entry("gone", 0, 5)}}, tulipglade.ListFull); len(got) != 1 ||
 			got[0].Phase != tulipglade.PhaseReady || kind != tulipglade.ListFull {
 			t.Errorf("a new list: %v, kind %d", got, kind)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -72,7 +72,7 @@
 	for _, t := range l.Targets {
 		h := n.byUID[t.UID]
 		switch {
-		case h == nil && t.State == protocol.Terminated:
+		case h == nil && (t.State == protocol.Terminated || old && n.forgotten.has(t.UID, t.BootMs)):
 			continue
 		case h == nil:
 			n.lastHost++
@@ -130,6 +130,7 @@
 		if h.goneAt > 0 && n.now()-h.goneAt >= hostKept {
 			delete(n.byUID, uid)
 			delete(n.hosts, h.id)
+			n.forgotten.add(uid, h.boot)
 		}
 	}
 }
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -29,10 +29,11 @@
 		return
 	}
 	now := n.now()
+	current, _ := n.bal.ListCurrent(now)
 	a := &attempt{probe: true, req: &request{set: n.set}, host: h, sent: now, till: now + n.set.ConnectTimeout}
 	h.probes++
 	switch {
-	case h.state != protocol.InService, !n.set.Module.MayProbe:
+	case h.state != protocol.InService, !n.set.Module.MayProbe, !current:
 		n.settle(a, tulipglade.Moot, nil) // it wants nothing new
 	case h.probes > probesMost:
 		n.settle(a, tulipglade.Moot, nil)
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -34,7 +34,9 @@
 
 func TestRepeat(t *testing.T) {
 	earlier := &Earlier{SentAt: 9 * second, Zone: 1, Cell: 2}
-	keyed := func(scope Scope) Rules { return Rules{Effect: ByKey, Scope: scope, Window: 2 * second, Spare: second / 10} }
+	keyed := func(scope Scope) Rules {
+		return Rules{Effect: ByKey, Scope: scope, Window: 2 * second, Spare: second / 10}
+	}
 	for name, test := range map[string]struct {
 		now     Time
 		rules   Rules
--- a/lease_test.go
+++ b/lease_test.go
@@ -98,3 +98,23 @@
 		}
 	}
 }
+
+// Another process goes on with what is left of the lease on the list that it takes over, less what the hand-over may have taken.
+func TestLeaseIsHandedOver(t *testing.T) {
+	g := start(t, leased(), hosts(4)...)
+	g.b.MembersAsOf(g.now, g.now, ListDelta, nil)
+	heard := g.now
+	g.run(1000 * ms)
+	next := start(t, leased(), hosts(4)...)
+	next.run(g.now - next.now)
+	next.b.Import(next.now, g.b.Export(g.now))
+	if _, until := next.b.ListCurrent(next.now); until != heard+ToldWithin-handoverWithin {
+		t.Errorf("until %d us after it was heard", until-heard)
+	}
+	late := start(t, leased(), hosts(4)...)
+	for _, left := range []Span{0, -1, handoverWithin, ToldWithin + 1} {
+		if late.b.Import(late.now, Memory{ListLeft: left}); late.b.lease.Valid(late.now) {
+			t.Errorf("%d us left are taken for a lease", left)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -263,6 +263,7 @@
 	Busy, Rate float64
 	ModeTime   [2]float64
 	Over       bool
+	ListLeft   Span // for how much longer requests may be sent by the list that goes with it
 }
 
 // HostMemory is what was learned of a host's process, as of Started.
@@ -284,8 +285,12 @@
 )
 
 // Export returns what was learned. Of what is left of the cold budgets, half goes with it.
-func (b *Balancer) Export() Memory {
+func (b *Balancer) Export(now Time) Memory {
+	b.now = now
 	m := Memory{Hosts: map[uint64]HostMemory{}, Busy: b.busy, Rate: b.rate, ModeTime: b.modeTime, Over: b.over}
+	if b.lease.Bounded() {
+		m.ListLeft = max(b.lease.Until()-b.now, 0)
+	}
 	for _, h := range b.hosts {
 		h.tokens /= 2
 		m.Hosts[cmp.Or(h.Key, uint64(h.ID))] = HostMemory{Started: h.Started, Limit: h.limit, Bad: h.bad, Tokens: h.tokens, Fails: h.fails,
@@ -337,10 +342,16 @@
 	if sound(m.Busy, m.Rate, m.ModeTime[0], m.ModeTime[1]) {
 		b.busy, b.rate, b.modeTime, b.over = m.Busy, m.Rate, m.ModeTime, m.Over
 	}
+	if left := m.ListLeft - handoverWithin; left > 0 && m.ListLeft <= b.cfg.ListLease {
+		b.lease.Note(freshness.Answered, now+left-b.cfg.ListLease)
+	}
 	b.control()
 	b.release()
 }
 
+// handoverWithin is how long it may take until what one process has given is with the next.
+const handoverWithin Span = 500_000
+
 // Share tells how many processes are this gateway: they spend the cold budgets together.
 func (b *Balancer) Share(processes int) { b.shared = float64(max(processes, 1)) }
 
