--- a/api.go
+++ b/api.go
@@ -2,7 +2,8 @@
 // host takes a request, what is held, what is refused, what is tried again. It does no input or output of
 // its own. A gateway hands events to a Balancer and carries out the Actions it answers with.
 //
-// This file is the whole interface; balancer.go holds every decision.
+// This file is the whole interface; balancer.go ties the decisions together. internal/permit decides whether
+// something may be sent or repeated now, and internal/freshness for how long a list of hosts may be used.
 package tulipglade
 
 import "tulipglade/internal/permit"
@@ -20,7 +21,8 @@
 	Token  uint64
 )
 
-// Effect says how often a request may run, and Scope which group of hosts drops the repeats of a ByKey request.
+// Effect says how often a request may run, and Scope which group of hosts drops the repeats of a ByKey
+// request.
 type (
 	Effect = permit.Effect
 	Scope  = permit.Scope
@@ -63,7 +65,7 @@
 	MayProbe      bool
 	AskDiscovery  bool    // the list of hosts comes only after Observe or Fetch
 	AskEvery      Span    // longest silence towards discovery while not subscribed
-	ListLease     Span    // for so long after a proof that the list is current requests are sent by it; 0: for ever
+	ListLease     Span    // requests are sent by a list for so long after a proof of it; 0: for ever
 	Tick          Span    // least time between two rounds of events
 	MaxRetryAfter Span    // longest wait a refused client obeys; 0: no advice given
 	ColdFrom      float64 // a host starts at this share of its capacity or more
--- a/balancer.go
+++ b/balancer.go
@@ -19,7 +19,7 @@
 	overEnter      = 0.92      // mean reported utilization at which overload begins
 	overLeave      = 0.80      // and below which it may end
 	reportFresh    = 3         // control periods after which an unchanged report tells nothing
-	limitLeast     = 4.5       // of all gateways together: so few do not congest a host, whatever latencies say
+	limitLeast     = 4.5       // of all gateways together: so few do not congest a host
 	busyFull       = 0.95      // reported utilization that limits steer for
 	cutWorth       = 3         // times an answer an attempt counts that was turned away or given up
 	limitGain      = 0.10      // change of a host's limit for one answer a whole target early or late
@@ -42,7 +42,7 @@
 	badGain        = 0.2       // weight of one answer in the share of a host's answers that were errors
 	badOut         = 0.45      // of them judge it out: about three in a row, but not the odd one
 	badSuspect     = 0.1       // and with more than this, it gets nothing that could not be repeated
-	badUsual       = 2         // times what is usual among hosts comes on top: what ails all is no host's fault
+	badUsual       = 2         // times what is usual among hosts comes on top: it is no host's fault
 	askFirst       = 0.5       // of the longest silence may pass before the first call to discovery
 	askFirstLeased = 1.0 / 12  // of ToldWithin, the same where nothing is sent before the answer
 	askEach        = 1.0 / 160 // of it goes by for each other gateway, so that their calls are spread
@@ -242,7 +242,7 @@
 // pick draws hosts in proportion to the tenant's slots, or to the room lent; with no host fit, of all in use.
 func (b *Balancer) pick(r *request, lent bool) (drawn []*host) {
 	from := b.group
-	if mayHaveRun(r.tries) != nil && b.cfg.Classes[r.class].Effect == ByKey { // few of its group of hosts are ours
+	if mayHaveRun(r.tries) != nil && b.cfg.Classes[r.class].Effect == ByKey { // its group of hosts
 		from = b.hosts
 	}
 	fit := b.anyFit()
@@ -470,12 +470,14 @@
 	return permit.Rules{Effect: c.Effect, Scope: c.Scope, Window: c.Window, Spare: 2 * b.cfg.Tick}
 }
 
-// mayRepeat tells whether there is any place where a request may be sent once more without its effect happening twice.
+// mayRepeat tells whether there is any place where a request may be sent once more without its effect
+// happening twice.
 func (b *Balancer) mayRepeat(r *request) bool {
 	return permit.Repeat(b.now, b.rules(r), mayHaveRun(r.tries), nil) == permit.Allowed
 }
 
-// MayBegin tells whether an attempt that has waited for its connection may begin, and if not, why: much may have changed.
+// MayBegin tells whether an attempt that has waited for its connection may begin, and if not, why: much may
+// have changed.
 func (b *Balancer) MayBegin(now Time, id ReqID, attempt int) permit.Reason {
 	b.now = now
 	r := b.reqs[id]
@@ -670,7 +672,8 @@
 // Members is news about the list of hosts that holds as of now.
 func (b *Balancer) Members(now Time, kind ListKind, list []Host) { b.MembersAsOf(now, now, kind, list) }
 
-// MembersAsOf is news about the list of hosts, or a call that has failed. It was current, or nothing newer could be had, at asOf.
+// MembersAsOf is news about the list of hosts, or a call that has failed. It was current, or nothing newer
+// could be had, at asOf.
 func (b *Balancer) MembersAsOf(now, asOf Time, kind ListKind, list []Host) {
 	b.now = now
 	if !b.begun {
@@ -690,7 +693,8 @@
 		if b.lease.Bounded() {
 			busy = askLatest * told // later, the list would be too old to send by
 		}
-		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told, ListBusy: busy}[kind]
+		most := map[ListKind]float64{ListFailed: askLatest * told, ListSilent: askAnew * told,
+			ListBusy: busy}[kind]
 		b.askAgain(min(max(float64(b.period)/4, b.askSpread())*math.Exp2(float64(b.askFails)), most))
 		b.askFails = min(b.askFails+1, ejectMost)
 		b.release() // what waited for word of the list
@@ -712,7 +716,8 @@
 	b.release()
 }
 
-// noteEvidence takes in what a call to discovery says of the age of the list. A list from a configuration says nothing of it.
+// noteEvidence takes in what a call to discovery says of the age of the list. A list from a configuration
+// says nothing of it.
 func (b *Balancer) noteEvidence(kind ListKind, asOf Time) {
 	switch kind {
 	case ListDelta, ListFull:
@@ -724,8 +729,8 @@
 	}
 }
 
-// firstCallWithin is the time over which gateways that start together spread their first calls to discovery. Where nothing is sent before the
-// answer, it is short.
+// firstCallWithin is the time over which gateways that start together spread their first calls to discovery.
+// Where nothing is sent before the answer, it is short.
 func (b *Balancer) firstCallWithin() float64 {
 	within := min(b.askSpread(), askFirst*float64(b.cfg.AskEvery))
 	if b.lease.Bounded() {
@@ -734,8 +739,8 @@
 	return within
 }
 
-// ListMustBeHeardAnew ends the lease of the list at a time at the latest, as after a move of discovery: what was heard before says nothing of
-// the list there.
+// ListMustBeHeardAnew ends the lease of the list at a time at the latest, as after a move of discovery: what
+// was heard before says nothing of the list there.
 func (b *Balancer) ListMustBeHeardAnew(now, at Time) {
 	b.now = now
 	b.lease.Shorten(at)
