--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -251,7 +251,7 @@
 			continue
 		}
 		for _, t := range m.told[n.index] {
-			if t.rev >= later.rev && t.at <= by+slack {
+			if t.rev >= later.rev && t.begun <= by {
 				return true
 			}
 		}
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -42,8 +42,9 @@
 
 // telling is an answer that was written to a node.
 type telling struct {
-	at  time.Duration
-	rev int
+	begun time.Duration // from here on the node may know of it
+	at    time.Duration // and here it counts as notified
+	rev   int
 }
 
 func newMembership(r *run, backends int) *membership {
@@ -291,6 +292,7 @@
 	}
 	n := d.run.nodes[d.node]
 	body, _ := json.Marshal(map[string]any{"rev": rev, "all": all, "targets": n.targets(list)})
+	begun := d.run.now()
 	if _, err := w.Write(body); err != nil {
 		return
 	}
@@ -300,7 +302,7 @@
 	m := d.run.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.told[d.node] = append(m.told[d.node], telling{d.run.now(), rev})
+	m.told[d.node] = append(m.told[d.node], telling{begun, d.run.now(), rev})
 }
 
 // hangUp resets a call's connection.
