--- a/balancer_test.go
+++ b/balancer_test.go
@@ -20,9 +20,7 @@
 	final  map[ReqID]string
 	wakes  []wake
 	lines  int
-	seen   int
 	asked  int
-	period Span
 	probes []HostID
 
 	seenTry  map[ReqID]bool
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -69,7 +69,7 @@
 		b.Members(now, ev.List, ev.Hosts)
 	case wire.Request:
 		if n := ev.Arrival.Class; n >= len(b.Config().Classes) {
-			return fmt.Errorf("Request: class %d is not in the settings", n)
+			return fmt.Errorf("record Request: class %d is not in the settings", n)
 		}
 		b.Request(now, ev.Arrival)
 	case wire.Streaming:
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -41,7 +41,6 @@
 // nodeLife is one process of a node.
 type nodeLife struct {
 	clockOff des.Span
-	ready    bool
 }
 
 // pool is a node's idle connections to a box.
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -185,13 +185,12 @@
 type broken struct {
 	policy.Policy
 	tulipglade.Actions
-	env      policy.Env
-	what     string
-	seen     int
-	onceGone map[tulipglade.ReqID]bool
-	ready    []tulipglade.HostID // as first told, whatever came later
-	cold     tulipglade.HostID
-	class    map[tulipglade.ReqID]int
+	env   policy.Env
+	what  string
+	seen  int
+	ready []tulipglade.HostID // as first told, whatever came later
+	cold  tulipglade.HostID
+	class map[tulipglade.ReqID]int
 }
 
 func breaker(what string) policy.Maker {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -61,7 +61,7 @@
 // without holders are forgotten, and a snapshot at any moment goes on as the original does.
 func TestAnyCommands(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s, copied, newest := New(), New(), Token(0)
+		s, newest := New(), Token(0)
 		for range rapid.IntRange(1, 60).Draw(rt, "n") {
 			c := Command{Kind: Kind(rapid.IntRange(0, 5).Draw(rt, "kind")), Name: rapid.SampledFrom([]string{"", "x", "y"}).Draw(rt, "name"),
 				Who: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "who"), Ask: rapid.Uint64Range(1, 3).Draw(rt, "ask"),
@@ -71,7 +71,8 @@
 			if err != nil {
 				rt.Fatal(err)
 			}
-			if copied, err = Restore(before); err != nil {
+			copied, err := Restore(before)
+			if err != nil {
 				rt.Fatal(err)
 			}
 			g, err := s.Apply(c)
--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -241,8 +241,7 @@
 				t.Fatal("no end")
 			}
 			if err == nil {
-				next, buf = m.More, buf[:0]
-				_ = n
+				next = m.More
 				full := make([]byte, n)
 				buf = full[:m.Shift(full)]
 			}
--- a/internal/rig/roll_test.go
+++ b/internal/rig/roll_test.go
@@ -181,6 +181,9 @@
 		if err == nil {
 			err = json.Unmarshal(raw, &config)
 		}
+		if err != nil {
+			t.Fatal(err)
+		}
 		name := config["name"].(string)
 		config["operator"] = operators[i]
 		if raw, err = json.Marshal(config); err == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -131,7 +131,7 @@
 	case Inventory:
 		n := u16(rec[1:])
 		if n >= len(r.lists) {
-			return ev, true, fmt.Errorf("Inventory: list number %d is over 15", n)
+			return ev, true, fmt.Errorf("record Inventory: list number %d is over 15", n)
 		}
 		raw, err := slice(rec[3:], tail, entrySize, "Inventory")
 		if err != nil {
@@ -148,25 +148,25 @@
 		}
 		var names []string
 		if ev.Config, names, err = Settings(raw); err != nil {
-			return ev, false, fmt.Errorf("PowerOn: boot_info: %w", err)
+			return ev, false, fmt.Errorf("record PowerOn: boot_info: %w", err)
 		}
 		r.fields[ev.Instance] = names
 	case Members:
 		ev.List = tulipglade.ListKind(rec[5])
 		if ev.List > tulipglade.ListFailed {
-			return ev, false, fmt.Errorf("Members: unknown mode %d at byte 5", rec[5])
+			return ev, false, fmt.Errorf("record Members: unknown mode %d at byte 5", rec[5])
 		}
 		if ev.List != tulipglade.ListFailed {
 			n := u16(rec[6:])
 			if n >= len(r.lists) || !r.known[n] {
-				return ev, false, fmt.Errorf("Members: no Inventory with number %d", n)
+				return ev, false, fmt.Errorf("record Members: no Inventory with number %d", n)
 			}
 			ev.Hosts = r.lists[n]
 		}
 	case Request:
 		at := binary.BigEndian.Uint64(rec[24:])
 		if at > math.MaxInt64 {
-			return ev, false, fmt.Errorf("Request: client_deadline_us %d is out of range", at)
+			return ev, false, fmt.Errorf("record Request: client_deadline_us %d is out of range", at)
 		}
 		ev.Arrival = tulipglade.Arrival{ID: tulipglade.ReqID(u32(rec[5:])), Key: binary.BigEndian.Uint64(rec[14:]), Tenant: u16(rec[22:]),
 			Deadline: int64(at), Class: u16(rec[32:]), Repeat: rec[9]&2 != 0}
@@ -179,12 +179,12 @@
 	case Settled:
 		code, err := outcome(u16(rec[11:]))
 		if err != nil {
-			return ev, false, fmt.Errorf("Settled: %w", err)
+			return ev, false, fmt.Errorf("record Settled: %w", err)
 		}
 		ev.Settled = tulipglade.Settlement{ID: tulipglade.ReqID(u32(rec[5:])), Attempt: u16(rec[9:]), Outcome: code,
 			Took: int64(u32(rec[13:])), Host: host(rec[17:]), Closed: rec[23] != 0}
 		if ev.Settled.Report, err = r.report(ev.Instance, rec[24:]); err != nil {
-			return ev, false, fmt.Errorf("Settled: %w", err)
+			return ev, false, fmt.Errorf("record Settled: %w", err)
 		}
 	case Gone:
 		ev.Settled.ID = tulipglade.ReqID(u32(rec[5:]))
@@ -193,11 +193,11 @@
 	case Check:
 		code, err := outcome(u16(rec[5:]))
 		if err != nil {
-			return ev, false, fmt.Errorf("CheckResult: %w", err)
+			return ev, false, fmt.Errorf("record CheckResult: %w", err)
 		}
 		ev.Settled = tulipglade.Settlement{Outcome: code, Host: host(rec[7:]), Took: int64(u32(rec[13:]))}
 		if ev.Settled.Report, err = r.report(ev.Instance, rec[17:]); err != nil {
-			return ev, false, fmt.Errorf("CheckResult: %w", err)
+			return ev, false, fmt.Errorf("record CheckResult: %w", err)
 		}
 	case Peer:
 		raw, err := slice(rec[7:], tail, 1, "PeerData")
@@ -224,11 +224,11 @@
 	for i := 0; i < len(raw); i += entrySize {
 		e := raw[i:]
 		if e[0] > byte(tulipglade.PhaseDraining) {
-			return nil, fmt.Errorf("Inventory: entry %d: unknown phase %d", i/entrySize, e[0])
+			return nil, fmt.Errorf("record Inventory: entry %d: unknown phase %d", i/entrySize, e[0])
 		}
 		at := binary.BigEndian.Uint64(e[9:])
 		if at > math.MaxInt64 {
-			return nil, fmt.Errorf("Inventory: entry %d: start time %d is out of range", i/entrySize, at)
+			return nil, fmt.Errorf("record Inventory: entry %d: start time %d is out of range", i/entrySize, at)
 		}
 		out = append(out, tulipglade.Host{Phase: tulipglade.Phase(e[0]), Weight: float64(f32(e[1:])),
 			Cell: u16(e[5:]), Zone: u16(e[7:]), Started: int64(at), ID: host(e[17:])})
--- a/state.go
+++ b/state.go
@@ -71,7 +71,6 @@
 }
 
 type tenantState struct {
-	blocked bool // nothing of it can be placed now
 	share   float64
 	held    []*request
 	out     meter
