--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -178,44 +178,19 @@
 	defer func() { c.close() }()
 	waits, failed := false, false
 	for {
-		w.mu.Lock()
-		if !w.on {
-			w.running = false
-			w.mu.Unlock()
+		next, ok := w.nextCall(c, waits)
+		if !ok {
 			return
 		}
-		if c.addr != w.addr {
-			c.close()
-			c, waits = newCall(w.addr, w.moved), false
-		}
-		rev, whole, slack, wait := w.rev, w.whole, w.slack, time.Duration(0)
-		if w.lost == nil {
-			slack <<= min(w.unheard, slowestDoublings)
-		}
-		if waits && !whole {
-			wait, slack = w.wait-rand.N(w.vary+1), w.over
-		}
-		// A discovery that answers or fails at once must not be called in a tight loop, whoever asks for that.
-		pause := w.pause - time.Since(w.began)
-		w.began = time.Now().Add(max(pause, 0))
-		w.mu.Unlock()
-		time.Sleep(pause)
-		request := protocol.AppendWatchRequest(nil, c.addr, rev, wait.Milliseconds())
-		if whole {
-			request = protocol.AppendListRequest(nil, c.addr)
-		}
+		c = next.on
+		time.Sleep(next.pause)
 		began := time.Now()
-		l, err := c.do(request, wait+slack)
+		l, err := c.do(next.request(), next.wait+next.slack)
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		w.noteAnswer(wait, err)
-		if err != nil && !errors.Is(err, errSilent) && !errors.Is(err, errBadList) && wait == 0 && time.Since(began) >= w.turn {
-			err = fmt.Errorf("%w: %w", errBusy, err)
-		}
-		if err == nil && l.All && !slices.ContainsFunc(l.Targets, func(t protocol.Target) bool { return t.State != protocol.Terminated }) {
-			err = fmt.Errorf("discovery at %s: %w", c.addr, errNoBackends)
-		}
+		w.noteAnswer(next.wait, err)
+		err = w.judge(c.addr, l, err, next.wait == 0 && time.Since(began) >= w.turn)
 		if w.lost != nil && err != nil {
 			if !failed {
 				w.lost(err)
@@ -223,17 +198,10 @@
 			failed, waits = true, false
 			continue
 		}
-		failed = false
-		if err != nil {
-			w.mu.Lock()
-			if c.addr != w.addr { // it has moved in this moment
-				w.mu.Unlock()
-				continue
-			}
-			w.running, w.on = false, false // before the module hears of it, which may ask anew
-			w.mu.Unlock()
+		if failed = false; err != nil && !w.end(c.addr) {
+			continue
 		}
-		w.tell(c.addr, l, began, wait, err)
+		w.tell(c.addr, l, began, next.wait, err)
 		if err != nil {
 			return
 		}
@@ -241,6 +209,71 @@
 	}
 }
 
+// plannedCall is the next call of a watch.
+type plannedCall struct {
+	on          *call
+	rev         int64
+	whole       bool          // it asks for the whole list
+	wait, slack time.Duration // it may wait so long for news, and then take so long for its answer
+	pause       time.Duration // before it
+}
+
+func (p plannedCall) request() []byte {
+	if p.whole {
+		return protocol.AppendListRequest(nil, p.on.addr)
+	}
+	return protocol.AppendWatchRequest(nil, p.on.addr, p.rev, p.wait.Milliseconds())
+}
+
+// nextCall plans the next call, on a new connection where discovery has moved from that of the last. It may wait for news where the last was answered.
+// It returns false where nobody watches any more.
+func (w *watch) nextCall(last *call, waits bool) (plannedCall, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.on {
+		w.running = false
+		return plannedCall{}, false
+	}
+	next := plannedCall{on: last, rev: w.rev, whole: w.whole, slack: w.slack}
+	if last.addr != w.addr {
+		last.close()
+		next.on, waits = newCall(w.addr, w.moved), false
+	}
+	if w.lost == nil {
+		next.slack <<= min(w.unheard, slowestDoublings)
+	}
+	if waits && !w.whole {
+		next.wait, next.slack = w.wait-rand.N(w.vary+1), w.over
+	}
+	// A discovery that answers or fails at once must not be called in a tight loop, whoever asks for that.
+	next.pause = w.pause - time.Since(w.began)
+	w.began = time.Now().Add(max(next.pause, 0))
+	return next, true
+}
+
+// judge says what a call's answer or error means: one that stood in line and failed has met too many callers, and a list without a backend is
+// not believed.
+func (w *watch) judge(addr string, l protocol.List, err error, stoodInLine bool) error {
+	switch {
+	case err == nil && l.All && !slices.ContainsFunc(l.Targets, func(t protocol.Target) bool { return t.State != protocol.Terminated }):
+		return fmt.Errorf("discovery at %s: %w", addr, errNoBackends)
+	case err != nil && stoodInLine && !errors.Is(err, errSilent) && !errors.Is(err, errBadList):
+		return fmt.Errorf("%w: %w", errBusy, err)
+	}
+	return err
+}
+
+// end ends the watch, before the module hears of the failure and may ask anew. It returns false where discovery has moved in this moment.
+func (w *watch) end(addr string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		return false
+	}
+	w.running, w.on = false, false
+	return true
+}
+
 // noteAnswer counts calls that were to be answered at once and were not at all. A watch that falls silent was lost, not slow.
 func (w *watch) noteAnswer(wait time.Duration, err error) {
 	w.mu.Lock()
