Name firstByte in its comment

The comment of firstByte began with another name, which the linter's checks do not see for types that are not exported. A comment alone; no behaviour changes, nothing was measured.

--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -23,7 +23,7 @@
 	deadlineSlack = 150_000 // by which a deadline told to a backend may exceed what is left
 )
 
-// sent is what is known of the first byte of an attempt.
+// firstByte is what is known of an attempt as its first byte is written.
 type firstByte struct {
 	at    int64 // just before it was written
 	told  int64 // the time that the backend was told it has
