Let a discovery that goes on to be behind renew the lease on the list

Cause, found by reading the change again: an answer older than the newest list renewed no lease, so that a discovery restarted with lower versions, without a SIGHUP, would have ended the service of every node 6 s later, for good. The guard had been put in for an answer of a replica that is behind.

Change: the first such answer in a row renews nothing, the next does: whoever goes on to be behind has nothing newer to tell. TestOldAnswerRenewsNoLease asks for both and for the count to begin anew; each seen to fail without its part.

--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -8,9 +8,24 @@
 	heard   bool  // requests have been sent by the list, or might have been
 	stale   bool  // they are not now, and a line says so
 	moved   bool  // discovery has: versions of another may be lower and yet newer
+	behind  int   // answers in a row that were older than the newest list heard of
 	staleAt int64
 }
 
+// behindMost is how many answers in a row may be older than the newest list without counting as word of what is current. A discovery that goes on to be
+// behind has been restarted with other versions, or has nothing newer: to wait for it for ever would end the service.
+const behindMost = 1
+
+// noteVersion takes in the version of an answer, and tells whether it says nothing of what is current.
+func (l *listState) noteVersion(rev, newest int64) (stale bool) {
+	if rev >= newest || l.moved {
+		l.behind = 0
+		return false
+	}
+	l.behind++
+	return l.behind <= behindMost
+}
+
 // readyWithin is how long a process that has just started waits for word of its list before it takes clients all the same, in
 // microseconds: nine in ten restarted processes are to be ready within 6 s on short days.
 const readyWithin = 4_500_000
--- a/internal/node/list_test.go
+++ b/internal/node/list_test.go
@@ -111,7 +111,8 @@
 	})
 }
 
-// The answer of a discovery that is behind says nothing of what is current, unless discovery has moved: another's versions may be lower.
+// The answer of a discovery that is behind says nothing of what is current, unless discovery has moved: another's versions may be lower. One that goes on
+// to be behind has been restarted with other versions, and must not end the service.
 func TestOldAnswerRenewsNoLease(t *testing.T) {
 	n, _ := start(t, newApp(t, serve).targets(), leased)
 	n.Members(protocol.List{Rev: 9}, false)
@@ -122,6 +123,11 @@
 		want bool
 	}{
 		{"behind", func() { n.Members(protocol.List{Rev: 8}, false) }, false},
+		{"behind again", func() { n.Members(protocol.List{Rev: 8}, false) }, true},
+		{"run out", func() { on(n, func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()) }) }, false},
+		{"up to date in between", func() { n.Members(protocol.List{Rev: 9}, false) }, true},
+		{"run out again", func() { on(n, func() { n.bal.ListMustBeHeardAnew(n.now(), n.now()) }) }, false},
+		{"behind once more", func() { n.Members(protocol.List{Rev: 8}, false) }, false},
 		{"the same", func() { n.Members(protocol.List{Rev: 9}, false) }, true},
 		{"moved", func() { n.Moved(0) }, false},
 		{"lower versions there", func() { n.Members(protocol.List{Rev: 1}, false) }, true},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -329,7 +329,7 @@
 		if cached {
 			kind = tulipglade.ListCached
 		}
-		if l.Rev < n.rev && !n.list.moved {
+		if n.list.noteVersion(l.Rev, n.rev) {
 			asOf = time.Time{} // a list that is older than the last says nothing of what is current
 		}
 		hosts, kind := n.merge(l, kind)
