Show that large messages are read ahead of a busy event loop (test fails)

A seam for tests, Node.report, delays what a system call's goroutine reports to the event loop; go test ./internal/node -report-delay 5ms plays every test so.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -150,7 +150,7 @@
 func (c *clientConn) onClosed(n *Node) func() {
 	return func() {
 		c.disconnectedAt.Store(n.now())
-		n.post(func() { c.disconnected(closePeerEnded) })
+		n.report(reportClosed, func() { c.disconnected(closePeerEnded) })
 	}
 }
 
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -19,7 +19,7 @@
 		if err == nil {
 			err = pending.attach(conn)
 		}
-		n.post(func() { n.dialFinished(pending, err) })
+		n.report(reportDialed, func() { n.dialFinished(pending, err) })
 	}()
 }
 
@@ -31,7 +31,7 @@
 	if c, ok := conn.(fdConn); ok {
 		_ = limitReceiveBuffer(uintptr(c.Fd()))
 	}
-	b.onClose(func() { b.node.post(b.connectionEnded) })
+	b.onClose(func() { b.node.report(reportClosed, b.connectionEnded) })
 	return conn.SetOnRequest(b.onInput)
 }
 
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -42,7 +42,7 @@
 	n := b.node
 	b.download.awaitingRequestEnd = false
 	b.detach(func(descriptor *os.File, rest []byte, err error) {
-		n.post(func() { n.startDownloadForwarding(b, descriptor, rest, err) })
+		n.report(reportDetached, func() { n.startDownloadForwarding(b, descriptor, rest, err) })
 	}) // if the connection has ended, connectionEnded follows
 }
 
@@ -107,7 +107,7 @@
 			if err == nil {
 				err = fwd.run()
 			}
-			n.post(func() {
+			n.report(reportForwarded, func() {
 				head.release()
 				n.downloadFinished(conn, client, fwd, err, length == protocol.UntilClose)
 			})
@@ -161,7 +161,7 @@
 	}
 	conn.usePollerConn(polled)
 	conn.message = protocol.Message{}
-	conn.onClose(func() { n.post(conn.connectionEnded) })
+	conn.onClose(func() { n.report(reportClosed, conn.connectionEnded) })
 	if err := polled.SetOnRequest(conn.onInput); err != nil || !polled.IsActive() {
 		n.closeBackend(conn, closePollerFailed)
 		return
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"runtime"
 	"testing"
@@ -13,6 +15,17 @@
 	"tulipglade/internal/protocol"
 )
 
+// maxReportDelay plays all tests with the results of system calls coming late, as on a busy machine.
+var maxReportDelay = flag.Duration("report-delay", 0, "delay each report of a system call to the event loop by up to this")
+
+// randomReportDelay returns delays of up to a maximum; nil: none.
+func randomReportDelay(most time.Duration) func(reportKind) time.Duration {
+	if most == 0 {
+		return nil
+	}
+	return func(reportKind) time.Duration { return rand.N(most) }
+}
+
 func TestMain(m *testing.M) {
 	if err := ConfigurePoller(io.Discard); err != nil {
 		panic(err)
@@ -58,6 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.testReportDelay = randomReportDelay(*maxReportDelay)
 	ln, err := Listen("127.0.0.1:0", false)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -161,7 +161,7 @@
 		return err
 	}
 	pollerBacklog.Add(1)
-	node.post(func() {
+	node.report(reportInput, func() {
 		s.inputInTransit.Add(-1)
 		pollerBacklog.Add(-1)
 		receive(b)
@@ -180,7 +180,7 @@
 		} else {
 			err = target.write(parts)
 		}
-		n.post(func() { onWritten(startedAt, err) })
+		n.report(reportWritten, func() { onWritten(startedAt, err) })
 	}()
 }
 
@@ -189,6 +189,6 @@
 func (n *Node) write(target *socket, onWritten func(error), parts ...[]byte) {
 	go func() {
 		err := target.write(parts)
-		n.post(func() { onWritten(err) })
+		n.report(reportWritten, func() { onWritten(err) })
 	}()
 }
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -32,7 +32,7 @@
 	c.overflow = nil
 	c.setOverflowSize(0)
 	c.detach(func(descriptor *os.File, rest []byte, err error) {
-		c.node.post(func() { c.uploadDetached(descriptor, rest, err) })
+		c.node.report(reportDetached, func() { c.uploadDetached(descriptor, rest, err) })
 	}) // if the connection has ended, disconnected follows
 }
 
@@ -81,7 +81,7 @@
 	n.balancer.HandleUpload(n.now(), req.id, true)
 	fwd := up.newForwarder(client, func(parts ...[]byte) error { return conn.write(parts) })
 	fwd.onWriteError = func() {
-		n.post(func() {
+		n.report(reportForwarded, func() {
 			if !att.isCompleted() { // incomplete: it has never started
 				n.closeBackend(conn, closeWriteFailed)
 				n.completeAttempt(att, balancer.OutcomeConnectFailed, nil)
@@ -96,7 +96,7 @@
 			fwd.writeErr = client.write([][]byte{[]byte("HTTP/1.1 100 Continue\r\n\r\n")})
 		}
 		err := fwd.run()
-		n.post(func() { n.uploadFinished(client, fwd, conn, att, err) })
+		n.report(reportForwarded, func() { n.uploadFinished(client, fwd, conn, att, err) })
 	}()
 }
 
@@ -112,7 +112,7 @@
 	c.node.activeForwarders++
 	go func() {
 		err := fwd.run()
-		c.node.post(func() { c.node.uploadFinished(c, fwd, nil, nil, err) })
+		c.node.report(reportForwarded, func() { c.node.uploadFinished(c, fwd, nil, nil, err) })
 	}()
 }
 
