Stop reading a connection where its bytes are read, not when the event loop says so

Symptom: on a busy machine a node holds 104 to 536 MB of a few large messages, and is killed at its memory limit of 64 to 192 MB. Cause: the poller read on until the event loop had detached the connection, and waited for that by 200 yields of its thread only. Change: the poller asks a limiter before each read. A connection has two posted pieces and one buffer at most, all connections an eighth of the memory limit; a connection that is being detached is not read.

--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -48,6 +48,7 @@
 	}
 	if b.uploadFullyRead() {
 		b.deferredInput = append(b.deferredInput, buf.retain())
+		b.limiter.setStopped(true) // until processDeferredInput
 		return
 	}
 	if b.attempt == nil { // no request is in flight
@@ -76,6 +77,9 @@
 func (b *backendConn) processDeferredInput() {
 	deferred, peerEnded := b.deferredInput, b.peerEndedEarly
 	b.deferredInput, b.peerEndedEarly = nil, false
+	if b.download == nil {
+		b.limiter.setStopped(false)
+	}
 	for _, buf := range deferred {
 		b.receive(buf)
 	}
--- a/internal/node/backpressure_test.go
+++ b/internal/node/backpressure_test.go
@@ -136,3 +136,52 @@
 		before = written.Load()
 	}
 }
+
+// A large answer may come before the event loop has learned that its request is written. It was taken for an answer
+// to half a request once 1 MB of it had come, and its client got 502: the log said "malformed answer" with "a large
+// answer before the end of its request". The report of the write is 50 ms late here.
+func TestLargeAnswerBeforeWriteReportIsForwarded(t *testing.T) {
+	var sent atomic.Int64
+	a := newTestBackend(t, func(w http.ResponseWriter, _ *http.Request) { _ = writeCounted(w, &sent) })
+	n, addr := startNode(t, []protocol.Target{targetOf("a", a)}, nil)
+	runOnLoop(n, func() { n.testReportDelay = delayReports(reportWritten, 50*time.Millisecond) })
+	code, body, _ := dialNode(t, addr).exchange(requestText("read", 9000))
+	if code != http.StatusOK || len(body) != largeMessageSize {
+		t.Errorf("%d with %d bytes", code, len(body))
+	}
+}
+
+// The answer to a large request may come before the event loop has learned that the request's last byte is written.
+// All of it was kept in memory until then.
+func TestLargeAnswerBeforeUploadReportIsBounded(t *testing.T) {
+	var sent atomic.Int64
+	a := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = writeCounted(w, &sent)
+	})
+	n, addr := startNode(t, []protocol.Target{targetOf("a", a)}, nil)
+	runOnLoop(n, func() { n.testReportDelay = delayReports(reportForwarded, time.Second) })
+	client := dialNode(t, addr)
+	held := measureHeldMemory()
+	_, _ = io.WriteString(client, postRequest("Content-Length: 100000")+string(randomBody(1, 100_000)))
+	for sent.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	waitUntilStalled(&sent)
+	if grown := held(); grown > heldPerMessage+2*protocol.BufferSize { // and the request itself
+		t.Errorf("%d KB held for an answer of %d MB", grown>>10, largeMessageSize>>20)
+	}
+	if code, body, _ := client.readAnswer(); code != http.StatusOK || len(body) != largeMessageSize {
+		t.Errorf("%d with %d bytes", code, len(body))
+	}
+}
+
+// delayReports delays reports of one kind.
+func delayReports(delayed reportKind, by time.Duration) func(reportKind) time.Duration {
+	return func(kind reportKind) time.Duration {
+		if kind == delayed {
+			return by
+		}
+		return 0
+	}
+}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -54,7 +54,10 @@
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
 			c := &clientConn{node: n, socket: socket{conn: conn}, requestStartedAt: n.now()}
 			_ = conn.SetWriteTimeout(writeTimeout)
-			c.onClose(c.onClosed(n))
+			if err := c.takeOver(n.readBudget, c.onClosed(n)); err != nil {
+				_ = conn.Close()
+				return context.Background()
+			}
 			n.pendingAccepts.Add(1)
 			n.post(c.register)
 			n.throttleAccepts()
--- a/internal/node/detach.go
+++ b/internal/node/detach.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"reflect"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
@@ -20,6 +19,7 @@
 		return
 	}
 	s.onDetached = onDetached
+	s.limiter.setStopped(true) // what is still to come is for the descriptor's reader
 	conn := s.conn
 	s.mu.Unlock()
 	pollerBacklog.Add(1)
@@ -70,9 +70,6 @@
 	return os.NewFile(uintptr(fd), "connection"), rest, nil
 }
 
-// errNoOperator reports that netpoll's connection has a form that this package does not know.
-var errNoOperator = errors.New("netpoll: a connection without an operator")
-
 // removeFromPollSet removes a connection that is being closed from the poller's set. netpoll does so itself except in
 // one case: if Close is called at the moment in which an input handler finishes (in onProcess, between its last check
 // of the state and its unlock), the handler's goroutine runs the callbacks and believes that the poller has closed
@@ -80,15 +77,11 @@
 // read input that belongs to another reader, and reject the descriptor when it comes back (EEXIST). Removing it twice
 // does no harm.
 func removeFromPollSet(conn netpoll.Connection) error {
-	v := reflect.ValueOf(conn)
-	if v.Kind() != reflect.Pointer || v.Elem().Kind() != reflect.Struct {
-		return errNoOperator
-	}
-	field := v.Elem().FieldByName("operator")
-	if !field.IsValid() || field.Type() != reflect.TypeFor[*netpoll.FDOperator]() || field.IsNil() {
-		return errNoOperator
+	operator, err := operatorOf(conn)
+	if err != nil {
+		return err
 	}
-	return (*netpoll.FDOperator)(field.UnsafePointer()).Control(netpoll.PollDetach)
+	return operator.Control(netpoll.PollDetach)
 }
 
 // attachToPoller returns a connection to the poller, which takes ownership of the descriptor.
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -32,6 +32,9 @@
 		return
 	}
 	b.download = &download{attempt: att, awaitingRequestEnd: b.state == backendWriting}
+	if b.download.awaitingRequestEnd && att.deadline != noDeadline {
+		b.limiter.setStopped(true) // the writer's report is due, or the attempt's deadline
+	}
 	if b.state == backendAwaitingAnswer {
 		b.detachForDownload()
 	}
@@ -161,8 +164,11 @@
 	}
 	conn.usePollerConn(polled)
 	conn.message = protocol.Message{}
-	conn.onClose(func() { n.report(reportClosed, conn.connectionEnded) })
-	if err := polled.SetOnRequest(conn.onInput); err != nil || !polled.IsActive() {
+	err = conn.takeOver(n.readBudget, func() { n.report(reportClosed, conn.connectionEnded) })
+	if err == nil {
+		err = polled.SetOnRequest(conn.onInput)
+	}
+	if err != nil || !polled.IsActive() {
 		n.closeBackend(conn, closePollerFailed)
 		return
 	}
@@ -178,14 +184,16 @@
 	c.close(closeAnswerTruncated)
 }
 
-// maxEarlyDownloadBytes bounds what is buffered of a large answer while its request is still being written. When a
-// backend answers, all of it has usually been written, and only the notification is outstanding.
+// maxEarlyDownloadBytes bounds what is buffered of a large answer while its request is still being uploaded. Where the
+// request is buffered, all of it has usually been written when a backend answers, and only the report of that is due:
+// then nothing more is read until it comes.
 const maxEarlyDownloadBytes = 1 << 20
 
 // keepInput buffers input that comes before the connection has been detached.
 func (d *download) keepInput(data []byte) error {
 	d.earlyInput = appendCopy(d.earlyInput, data)
-	if d.earlyBytes += len(data); d.awaitingRequestEnd && d.earlyBytes > maxEarlyDownloadBytes {
+	uploading := d.attempt.deadline == noDeadline
+	if d.earlyBytes += len(data); d.awaitingRequestEnd && uploading && d.earlyBytes > maxEarlyDownloadBytes {
 		return errEarlyLargeAnswer
 	}
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	priorityPending atomic.Bool
 	wake            chan struct{}
 
+	readBudget     *readBudget
 	pendingAccepts atomic.Int32 // accepted connections that the event loop has not registered
 
 	// What follows belongs to the event loop.
@@ -116,6 +117,7 @@
 		startedAt:          start,
 		startedAtMicros:    start.UnixMicro(),
 		wake:               make(chan struct{}, 1),
+		readBudget:         newReadBudget(settings.MemoryLimit),
 		invalidTransitions: map[invalidTransition]struct{}{},
 		warningCounts:      map[string]int{},
 		classIndex:         indexByName(settings.Classes),
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -16,6 +16,7 @@
 // they are being filled.
 type socket struct {
 	conn            netpoll.Connection
+	limiter         *readLimiter // of conn
 	inputInTransit  atomic.Int32 // pieces of input that are posted to the event loop
 	descriptor      *os.File     // replaces conn while it is detached from the poller
 	mu              sync.Mutex
@@ -30,14 +31,21 @@
 // fdConn is a connection that has a file descriptor, as the poller's have.
 type fdConn interface{ Fd() int }
 
-// onClose registers the callback for the end of the connection.
-func (s *socket) onClose(onClosed func()) {
+// takeOver prepares a new connection of the poller, before any callback for its input is set: it limits what the
+// poller reads ahead, and registers the callback for the end of the connection.
+func (s *socket) takeOver(budget *readBudget, onClosed func()) error {
+	limiter, err := limitReads(s.conn, budget)
+	if err != nil {
+		return err
+	}
+	s.limiter = limiter
 	if c, ok := s.conn.(interface {
 		SetOnDisconnect(netpoll.OnDisconnect) error
 	}); ok {
 		_ = c.SetOnDisconnect(func(context.Context, netpoll.Connection) { s.closedByPoller.Store(true) })
 	}
-	_ = s.conn.AddCloseCallback(func(conn netpoll.Connection) error {
+	return s.conn.AddCloseCallback(func(conn netpoll.Connection) error {
+		limiter.end()
 		s.mu.Lock()
 		s.transportClosed = true
 		onDetached := s.onDetached
@@ -160,11 +168,14 @@
 		s.inputInTransit.Add(-1)
 		return err
 	}
+	limiter := s.limiter
+	limiter.delivered(b.length)
 	pollerBacklog.Add(1)
 	node.report(reportInput, func() {
 		s.inputInTransit.Add(-1)
 		pollerBacklog.Add(-1)
 		receive(b)
+		limiter.processed()
 	})
 	return nil
 }
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -227,8 +227,10 @@
 		return false
 	}
 	c.usePollerConn(conn)
-	c.onClose(c.onClosed(c.node))
-	if err := conn.SetOnRequest(c.onInput); err != nil || !conn.IsActive() {
+	if err = c.takeOver(c.node.readBudget, c.onClosed(c.node)); err == nil {
+		err = conn.SetOnRequest(c.onInput)
+	}
+	if err != nil || !conn.IsActive() {
 		c.node.post(func() { c.disconnected(closePeerEnded) })
 	}
 	return true
