Take no input for an answer before the first byte of its request is reported

Symptom: a client gets bytes that its backend sent before the request was written, such as a duplicate of another's answer; the connection then goes back to the pool with answerComplete set and is given to two requests at once. Cause: between an attempt's check and its delayed write, input was parsed as the attempt's answer; the report that nothing was written came too late. Change: input waits, unread by the poller beyond its limit, until the first write is reported. If nothing was written, the connection closes, its endpoint counts as sending duplicates, and the attempt is sent on another.

--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -23,7 +23,8 @@
 	state             backendConnState
 	answerComplete    bool      // the complete answer came before the writer had returned
 	download          *download // forwards an answer that is too large to be buffered
-	deferredInput     []*buffer // input that came before the event loop learned that a large request had been written
+	writeReported     bool      // the event loop has learned that the first write of its request has ended
+	deferredInput     []*buffer // input that came before the event loop learned what had been written
 	peerEndedEarly    bool      // the backend has closed while the request was being written
 	idleElement       *list.Element
 	idleSince         int64
@@ -46,7 +47,7 @@
 		b.keepDownloadInput(buf.bytes())
 		return
 	}
-	if b.uploadFullyRead() {
+	if b.awaitsWriteReport() || b.uploadFullyRead() {
 		b.deferredInput = append(b.deferredInput, buf.retain())
 		b.limiter.setStopped(true) // until processDeferredInput
 		return
@@ -73,7 +74,11 @@
 	}
 }
 
-// processDeferredInput processes the input that was deferred until a large request had been written.
+// awaitsWriteReport reports whether the event loop does not know yet that any byte of a request has been written. Only
+// then can what the backend sends be its answer.
+func (b *backendConn) awaitsWriteReport() bool { return b.attempt != nil && !b.writeReported }
+
+// processDeferredInput processes the input that was deferred until the event loop knew what had been written.
 func (b *backendConn) processDeferredInput() {
 	deferred, peerEnded := b.deferredInput, b.peerEndedEarly
 	b.deferredInput, b.peerEndedEarly = nil, false
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -34,6 +34,7 @@
 	att.conn, conn.attempt = conn, att
 	n.setAttemptState(att, attemptAssigned)
 	conn.setState(backendWriting)
+	conn.writeReported = att.isHealthCheck
 	if att.isHealthCheck {
 		conn.message = protocol.Message{}
 		n.write(&conn.socket, func(err error) { n.requestSent(conn, att, err) }, n.appendHealthCheck(nil, conn.endpoint))
@@ -76,11 +77,15 @@
 
 // requestWritten processes the end of the write that sendRequest has started.
 func (n *Node) requestWritten(conn *backendConn, att *attempt, err error) {
+	if errors.Is(err, errWriteDelayed) && conn.state != backendClosed {
+		n.retryDelayedWrite(conn, att)
+		return
+	}
+	conn.writeReported = true
+	conn.processDeferredInput()
 	req := att.request
 	switch {
 	case conn.state == backendClosed:
-	case errors.Is(err, errWriteDelayed):
-		n.retryDelayedWrite(conn, att)
 	case req.upload != nil && err == nil && !conn.answerComplete && !conn.peerEndedEarly && !req.isDone():
 		n.forwardUpload(conn, att)
 	case req.upload != nil: // incomplete: it has never started
@@ -92,9 +97,10 @@
 }
 
 // retryDelayedWrite handles an attempt whose write was delayed so long that not a byte was written: it is checked and
-// sent again on the same connection.
+// sent again on the same connection, unless its backend has ended that or sent something meanwhile, which is no answer.
 func (n *Node) retryDelayedWrite(conn *backendConn, att *attempt) {
-	if !att.isCompleted() && !conn.peerEndedEarly && n.mayStart(att) == safety.Allowed {
+	unsolicited := len(conn.deferredInput) > 0
+	if !att.isCompleted() && !conn.peerEndedEarly && !unsolicited && n.mayStart(att) == safety.Allowed {
 		n.sendRequest(conn, att)
 		return
 	}
@@ -103,7 +109,10 @@
 		att.conn = nil
 		n.completeAttempt(att, balancer.OutcomeNotSent, nil)
 	}
-	if conn.peerEndedEarly || conn.input != nil {
+	if unsolicited {
+		conn.endpoint.duplicatesUntil = n.now() + observationLifetime
+	}
+	if conn.peerEndedEarly || unsolicited {
 		n.closeBackend(conn, closeUnusable)
 		n.dialForWaiting(conn.endpoint)
 		return
