Return the connection of an early answered upload to its pool

Cause: the end of the upload completed an attempt only if there was one; an early answer had completed it, and nothing looked at the connection again. Change: at the end of the upload such a connection is released, or closed if the backend did not receive all of it.

--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -141,7 +141,11 @@
 	n.forwarderFinished()
 	client.upload.complete = true
 	req := client.request
-	if err == nil && att != nil && !att.isCompleted() {
+	switch {
+	case att == nil:
+	case att.isCompleted(): // answered early, unless its connection has closed
+		n.earlyAnsweredUploadEnded(conn, att, errors.Join(err, fwd.writeErr))
+	case err == nil:
 		n.uploadSent(conn, att, fwd.writeErr)
 	}
 	defer func() { // after the client's connection has been reattached
@@ -192,6 +196,14 @@
 	}
 }
 
+// earlyAnsweredUploadEnded returns the connection of a request that was answered before its last byte to the pool, or
+// closes it if the backend has not received all of the request.
+func (n *Node) earlyAnsweredUploadEnded(conn *backendConn, att *attempt, err error) {
+	if conn.answerComplete {
+		n.requestSent(conn, att, err)
+	}
+}
+
 // resumeAfterUpload returns the connection to the poller, with the input that followed the request.
 func (c *clientConn) resumeAfterUpload(rest []byte) {
 	if c.closeAfterAnswer && c.request == nil && !c.writingAnswer {
