Count the time of a large request from its last byte also if that came early

A body of 100,000 bytes that waits 1 s for a connection: the backend is told 2,989 ms where the client has 1,997 ms left, and the node gives up 1 s late. Cause: the time was counted from the head, stated whole at the first write and counted anew from the last byte forwarded. The audit, in turn, compared a slow upload with a deadline that did not hold for it: a violation where the rule is kept. Change: an upload knows when its last byte had certainly not been sent, and by when it had come: by its arrivals, by what waits in the socket against its length, and by reads that had to wait for the sender. Where that is not known, less is stated. The audit checks what is known to have come.

--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,11 @@
 	endedInOrder bool     // without a descriptor: it has ended without a reset
 }
 
+// hasBuffered reports whether the next read needs no input from the connection.
+func (s *source) hasBuffered() bool {
+	return slices.ContainsFunc(s.buffered, func(piece []byte) bool { return len(piece) > 0 })
+}
+
 // Read implements io.Reader.
 func (s *source) Read(dst []byte) (int, error) {
 	for len(s.buffered) > 0 {
@@ -71,6 +77,7 @@
 	fullyRead      atomic.Bool // the last byte has been read
 	maxBytes       int64       // stop reading after so many; 0: unlimited
 	startedAt      time.Time
+	lastWaitAt     time.Time     // when a read had to wait for its sender for the last time: the last byte was not sent before
 	writeTime      time.Duration // time spent on writing
 	writeErr       error         // why writing has failed: the rest of the message is discarded
 	onWriteError   func()        // called when writeErr is set
@@ -148,6 +155,20 @@
 	return min(bodyGrace+earned-(now.Sub(f.startedAt)-f.writeTime), forwardIdleTimeout)
 }
 
+// readWaiting reads from the source, and records when that had to wait for the sender.
+func (f *forwarder) readWaiting(dst []byte) (int, error) {
+	if f.source.hasBuffered() || f.source.descriptor == nil {
+		return f.source.Read(dst)
+	}
+	waiting, ok := unreadBytes(f.source.descriptor)
+	startedAt := time.Now()
+	n, err := f.source.Read(dst)
+	if now := time.Now(); ok && waiting == 0 && n > 0 && now.Sub(startedAt) >= emptyReadWait {
+		f.lastWaitAt = now
+	}
+	return n, err
+}
+
 // readPiece reads the next piece.
 func (f *forwarder) readPiece() error {
 	if f.maxBytes > 0 && f.receivedBytes > f.maxBytes {
@@ -157,7 +178,7 @@
 		now := time.Now()
 		_ = f.source.descriptor.SetReadDeadline(now.Add(f.readTimeout(now)))
 	}
-	n, err := f.source.Read(f.buffer.data[f.buffer.length:])
+	n, err := f.readWaiting(f.buffer.data[f.buffer.length:])
 	f.buffer.length += n
 	f.receivedBytes += int64(n)
 	switch {
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -45,10 +45,13 @@
 	body := req.message.Body(req.buffer.bytes())
 	length, remaining := len(body), att.deadline-n.now()
 	if req.upload != nil {
-		length, remaining = req.message.Length(), req.uploadTimeout
+		length, remaining = req.message.Length(), n.remainingUploadTime(req)
 	}
 	remaining = statedTimeout(remaining)
-	first := firstByte{statedTimeout: remaining}
+	first := firstByte{statedTimeout: remaining, deadline: att.deadline}
+	if req.upload != nil {
+		first.deadline = req.upload.latestDeadline(req.uploadTimeout)
+	}
 	if _, until := n.balancer.ListCurrent(n.now()); n.settings.Balancer.ListLease > 0 {
 		first.listExpiresAt = until
 	}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -17,6 +17,7 @@
 	tail       protocol.Message
 	rejected   bool // the request is invalid: little more of it is read
 	forwarder  *forwarder
+	lastByte   lastByte
 	forwarding bool // bytes have been consumed that can't be sent again
 	complete   bool // the forwarder has ended
 }
@@ -29,6 +30,7 @@
 	c.hasSentRequest = true
 	c.setIdle(false)
 	c.upload = &upload{earlyInput: c.overflow}
+	c.upload.lastByte.after = c.arrivalTime(c.input.length + c.overflowSize - 1)
 	c.overflow = nil
 	c.setOverflowSize(0)
 	c.detach(func(descriptor *os.File, rest []byte, err error) {
@@ -60,14 +62,18 @@
 		c.reply(buf, 503, nil, []byte("no room for a large request\n"), 0)
 		return
 	}
-	req, rejected := n.admit(&msg, buf, n.now())
+	req, rejected := n.admit(&msg, buf, up.lastByte.after)
 	if rejected != nil {
 		c.closeAfterAnswer, up.rejected = true, rejected.status != 503
 		c.reply(buf, rejected.status, nil, []byte(rejected.reason+"\n"), 0)
 		return
 	}
 	req.upload, req.clientConn, c.request = up, c, req
-	req.uploadTimeout = req.deadline - n.now()
+	req.uploadTimeout = req.deadline - up.lastByte.after
+	up.observe(n.now(), descriptor, msg.Length(), len(msg.Body(buf.bytes())))
+	if up.lastByte.by == 0 {
+		req.deadline = n.answerDeadline(n.now(), up.lastByte.after+req.uploadTimeout)
+	}
 	n.submit(req)
 }
 
@@ -146,7 +152,7 @@
 	case att.isCompleted(): // answered early, unless its connection has closed
 		n.earlyAnsweredUploadEnded(conn, att, errors.Join(err, fwd.writeErr))
 	case err == nil:
-		n.uploadSent(conn, att, fwd.writeErr)
+		n.uploadSent(conn, att, fwd)
 	}
 	defer func() { // after the client's connection has been reattached
 		if conn != nil {
@@ -179,10 +185,14 @@
 }
 
 // uploadSent processes the last byte of a large request: its deadline is known from here on.
-func (n *Node) uploadSent(conn *backendConn, att *attempt, writeErr error) {
+func (n *Node) uploadSent(conn *backendConn, att *attempt, fwd *forwarder) {
 	now := n.now()
-	req := att.request
-	req.deadline = n.answerDeadline(now, now+req.uploadTimeout)
+	req, writeErr := att.request, fwd.writeErr
+	sentAfter := req.upload.lastByte.after
+	if !fwd.lastWaitAt.IsZero() {
+		sentAfter = max(sentAfter, n.nodeTime(fwd.lastWaitAt))
+	}
+	req.deadline = n.answerDeadline(now, sentAfter+req.uploadTimeout)
 	att.startedAt, att.deadline = now, req.deadline
 	n.scheduleAt(att.deadline, func() { n.checkAttemptDeadline(att) })
 	n.balancer.HandleUpload(now, req.id, false)
