--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	d := &drawnRollout{sites: map[string]string{}, unavailable: map[string]bool{}, changed: map[string]int{}}
 	for i := range rapid.IntRange(1, 9).Draw(t, "nodes") {
-		node := Node{Name: fmt.Sprint("n", i), Site: fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "site"))}
+		node := Node{Name: fmt.Sprint("n", i), Site: rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "site")}
 		d.nodes = append(d.nodes, node)
 		d.sites[node.Name] = node.Site
 	}
@@ -181,3 +181,16 @@
 		t.Errorf("%d nodes done, notes of %d bytes where %d fit", len(r.Finished()), largest, lease.MaxNoteBytes)
 	}
 }
+
+// Nodes without a site are one site, and the limit holds for them. They were all started at once, whatever the limit, and
+// so the whole fleet restarted together: an empty site stood for "no node is in progress".
+func TestLimitHoldsForNodesWithoutSite(t *testing.T) {
+	nodes := []Node{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d", Site: "s1"}}
+	r, err := New(nodes, 2, "v2", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tasks := r.Next(); len(tasks) != 2 {
+		t.Errorf("%d nodes are started, want 2: %v", len(tasks), tasks)
+	}
+}
