Keep a rollout's limit for nodes without a site

Symptom: all nodes of a fleet file without sites are restarted together. Cause: an empty site stood for 'no node is in progress', so each further node was taken for the first. Change: the number of unavailable nodes says so. Nodes without a site count as one site. Measured: 3 of 3 nodes were started where 2 may be; now 2. No other limit that an empty field takes away was found in rollout, lease, failover and the agents (read, not run).

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -103,7 +103,7 @@
 		if r.isInProgress(node) || slices.Contains(r.progress.Done, node.Name) {
 			continue
 		}
-		if site == "" { // no node is in progress
+		if unavailable == 0 {
 			site = node.Site
 		} else if node.Site != site || unavailable >= r.maxUnavailable {
 			continue
