--- a/internal/node/uploaddeadline.go
+++ b/internal/node/uploaddeadline.go
@@ -26,13 +26,18 @@
 	if !ok {
 		return
 	}
-	early := bytes.Join(u.earlyInput, nil)
-	switch {
-	case length < 0: // the end of a chunked body may be anywhere in what waits
-		if waiting == 0 && !bytes.HasSuffix(early, endOfChunkedBody) {
+	if length < 0 { // the end of a chunked body may be anywhere in what waits
+		if waiting == 0 && !bytes.HasSuffix(bytes.Join(u.earlyInput, nil), endOfChunkedBody) {
 			u.lastByte.after = now
 		}
-	case bufferedBody+len(early)+waiting >= length:
+		return
+	}
+	received := bufferedBody + waiting
+	for _, piece := range u.earlyInput {
+		received += len(piece)
+	}
+	switch {
+	case received >= length:
 		u.lastByte.by = now
 	case waiting < openReceiveWindow:
 		u.lastByte.after = now
