--- a/cmd/tulipctl/cluster.go
+++ b/cmd/tulipctl/cluster.go
@@ -13,6 +13,7 @@
 
 	"tulipglade/internal/fake"
 	"tulipglade/internal/load"
+	"tulipglade/internal/loopback"
 	"tulipglade/internal/simulation/scenario"
 )
 
@@ -88,7 +89,7 @@
 	startNodes := len(nodes) == 0
 	if startNodes {
 		var err error
-		if nodes, err = fake.FreeAddrs(sc.Nodes.Count); err != nil {
+		if nodes, err = loopback.FreeAddresses(loopback.Host, sc.Nodes.Count); err != nil {
 			return nil, err
 		}
 	} else if len(nodes) != sc.Nodes.Count {
--- a/cmd/tulipctl/main_test.go
+++ b/cmd/tulipctl/main_test.go
@@ -12,7 +12,7 @@
 
 	"tulipglade/internal/agent"
 	"tulipglade/internal/deadlineexec"
-	"tulipglade/internal/fake"
+	"tulipglade/internal/loopback"
 )
 
 func TestMain(m *testing.M) {
@@ -40,7 +40,7 @@
 func TestScripts(t *testing.T) {
 	node := buildNode(t)
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
-		addrs, err := fake.FreeAddrs(1)
+		addrs, err := loopback.FreeAddresses(loopback.Host, 1)
 		if err != nil {
 			return err
 		}
--- a/cmd/tulipglade/soak_test.go
+++ b/cmd/tulipglade/soak_test.go
@@ -45,8 +45,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d requests: %d served, %d rejected, %d failed; faults %v",
-		result.Total, result.Served, result.Rejected, result.Failed, result.Faults)
+	t.Logf("%d requests: %d served, %d rejected, %d failed; this process late by %.3f s at most (at %.3f); faults %v",
+		result.Total, result.Served, result.Rejected, result.Failed,
+		result.LongestDelay.Seconds(), result.LongestDelayAt.Seconds(), result.Faults)
 	for i, line := range result.Violations {
 		if i == maxBrokenLines {
 			t.Errorf("and %d more", len(result.Violations)-i)
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -15,26 +15,6 @@
 	return net.Listen("tcp4", addr)
 }
 
-// FreeAddrs finds loopback addresses that nothing listens on.
-func FreeAddrs(count int) ([]string, error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, listener := range listeners {
-			closeQuietly(listener)
-		}
-	}()
-	var addrs []string
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		listeners = append(listeners, listener)
-		addrs = append(addrs, listener.Addr().String())
-	}
-	return addrs, nil
-}
-
 // closeQuietly closes a socket that nothing more is expected of: an error of Close changes nothing for its user.
 func closeQuietly(c io.Closer) { _ = c.Close() }
 
--- a/internal/load/targets_test.go
+++ b/internal/load/targets_test.go
@@ -10,10 +10,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"tulipglade/internal/loopback"
 
 	"go.uber.org/goleak"
-
-	"tulipglade/internal/fake"
 )
 
 // closeQuietly closes what a test has no more use for.
@@ -138,7 +137,7 @@
 		})
 	}
 	t.Run("is not there", func(t *testing.T) {
-		addrs, err := fake.FreeAddrs(1)
+		addrs, err := loopback.FreeAddresses(loopback.Host, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/clientanswer.go
+++ b/internal/node/clientanswer.go
@@ -1,6 +1,13 @@
 package node
 
-import "tulipglade/internal/protocol"
+import (
+	"errors"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+
+	"tulipglade/internal/protocol"
+)
 
 // reply writes an answer. It retains source, into which fields and body point, until that is done.
 func (c *clientConn) reply(source *buffer, status int, fields []protocol.Field, body []byte, retryAfter int64) {
@@ -29,7 +36,7 @@
 		case err == nil && c.upload != nil && !c.upload.complete:
 			c.discardAfterEarlyAnswer()
 		case err != nil:
-			c.close(closeWriteFailed)
+			c.close(writeFailureReason(err))
 		case c.closeAfterAnswer:
 			c.closeGracefully(closeLastAnswer)
 		default:
@@ -40,6 +47,16 @@
 	}, out, body)
 }
 
+// writeFailureReason says whether a write to a client failed because the client has ended the connection.
+func writeFailureReason(err error) closeReason {
+	for _, ended := range []error{syscall.EPIPE, syscall.ECONNRESET, netpoll.ErrConnClosed} {
+		if errors.Is(err, ended) {
+			return closePeerEnded
+		}
+	}
+	return closeWriteFailed
+}
+
 // rejectUnreadable answers what can't be parsed, after which the connection closes.
 func (c *clientConn) rejectUnreadable(status int, reason string) {
 	c.setIdle(false)
--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -4,10 +4,14 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cloudwego/netpoll"
+
 	"tulipglade/internal/protocol"
 )
 
@@ -182,3 +186,20 @@
 		})
 	}
 }
+
+// A write that fails because the client has gone is the client's end of the connection, and no warning. The soak reported
+// `client connection closed within a request reason="write failed"` for a large request that was answered early and whose
+// client had disconnected by then.
+func TestWriteFailureAfterClientLeftIsItsClose(t *testing.T) {
+	for err, want := range map[error]closeReason{
+		&os.PathError{Op: "write", Path: "connection", Err: syscall.EPIPE}: closePeerEnded,
+		netpoll.Exception(syscall.ECONNRESET, "when flush"):                closePeerEnded,
+		netpoll.Exception(netpoll.ErrConnClosed, "when flush"):             closePeerEnded,
+		netpoll.Exception(netpoll.ErrWriteTimeout, "client"):               closeWriteFailed,
+		&os.PathError{Op: "write", Path: "c", Err: os.ErrDeadlineExceeded}: closeWriteFailed,
+	} {
+		if reason := writeFailureReason(err); reason != want {
+			t.Errorf("%v: %q, want %q", err, reason, want)
+		}
+	}
+}
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -122,3 +123,21 @@
 		}
 	})
 }
+
+// A client that disconnects while its large request waits for a connection gets no attempt any more. It got one: the
+// connection is detached from the poller by then, and nobody looked whether it had ended. The soak reported
+//
+//	lost: n3-c1-89 started at backend 1 0.515 s after its client had disconnected
+func TestClientDisconnectBeforeUploadStarts(t *testing.T) {
+	backend := newTestBackend(t, serve)
+	n, addr := startNode(t, backend.targets(), func(s *Settings) { s.ConnectTimeout = 5_000_000 })
+	delayReports(n, reportDialed, 300*time.Millisecond)
+	client := dialNode(t, addr)
+	_, _ = io.WriteString(client, postRequest("Content-Length: "+strconv.Itoa(uploadSize))+string(randomBody(1, uploadSize)))
+	waitUntil(n, func() bool { return len(n.requests) == 1 && len(n.requests[1].attempts) == 1 })
+	_ = client.Close()
+	waitUntil(n, func() bool { return len(n.requests) == 0 })
+	if count := backend.requestCount.Load(); count > 0 {
+		t.Errorf("%d requests reached the backend", count)
+	}
+}
--- a/internal/processtest/addresses.go
+++ b/internal/processtest/addresses.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
 )
@@ -19,17 +18,3 @@
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", block, 1+pid%hosts, 1+pid/hosts%hosts)
 }
-
-// freeAddresses returns addresses of a host at which nobody listens.
-func freeAddresses(host string, count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
-		if err != nil {
-			return nil, fmt.Errorf("choose a free address: %w", err)
-		}
-		defer func() { _ = listener.Close() }() // only after all are chosen, so that they differ
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
--- a/internal/processtest/addresses_test.go
+++ b/internal/processtest/addresses_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"testing"
+	"tulipglade/internal/loopback"
 )
 
 // TestAddressesStayFreeBesideOtherHarnesses has several harnesses choose their addresses and open relays at the same time. No process
@@ -14,7 +15,7 @@
 		var group sync.WaitGroup
 		for range harnesses {
 			group.Go(func() {
-				addresses, err := freeAddresses(nextLoopbackHost(), processes)
+				addresses, err := loopback.FreeAddresses(nextLoopbackHost(), processes)
 				if err != nil {
 					t.Error(err)
 					return
--- a/internal/processtest/harness.go
+++ b/internal/processtest/harness.go
@@ -15,6 +15,7 @@
 	"tulipglade/internal/agent"
 	"tulipglade/internal/consensus"
 	"tulipglade/internal/lease"
+	"tulipglade/internal/loopback"
 )
 
 // Options configure a Harness.
@@ -77,7 +78,7 @@
 		}
 	}()
 	agentCount := options.Agents + options.SpareAgents
-	addresses, err := freeAddresses(nextLoopbackHost(), agentCount+1)
+	addresses, err := loopback.FreeAddresses(nextLoopbackHost(), agentCount+1)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/processtest/rollout_fleet_test.go
+++ b/internal/processtest/rollout_fleet_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tulipglade/internal/fake"
+	"tulipglade/internal/loopback"
 	"tulipglade/internal/simulation/scenario"
 )
 
@@ -85,7 +86,7 @@
 			_ = agent.Wait()
 		}
 	})
-	addresses, err := fake.FreeAddrs(fleetAgents)
+	addresses, err := loopback.FreeAddresses(loopback.Host, fleetAgents)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +134,7 @@
 		t.Fatal(err)
 	}
 	f.scenario = parsed
-	addresses, err := fake.FreeAddrs(2 * parsed.Nodes.Count)
+	addresses, err := loopback.FreeAddresses(loopback.Host, 2*parsed.Nodes.Count)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/addresses.go
+++ b/internal/soak/addresses.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"tulipglade/internal/loopback"
 )
 
 // host returns the loopback address that a node and everything that it connects to listen at. No other run uses it, so that a port which is
@@ -18,10 +19,9 @@
 
 // freeAddress returns an address of a node's host at which nobody listens.
 func (r *run) freeAddress(node int) (string, error) {
-	listener, err := r.listen(node)
+	addresses, err := loopback.FreeAddresses(r.host(node), 1)
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = listener.Close() }() // nothing has connected to it
-	return listener.Addr().String(), nil
+	return addresses[0], nil
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -34,11 +34,15 @@
 	Failed     int
 	Total      int
 	Plan       []Fault
+	// LongestDelay is the longest time for which this process, that records what clients and backends see, did not run
+	// when it was due, and LongestDelayAt when that ended. Beyond schedulingDelay its records prove little.
+	LongestDelay, LongestDelayAt time.Duration
 }
 
 // check checks the records against the rules.
 func (r *run) check(plan []Fault) Result {
 	result := Result{Faults: map[Kind]int{}, Plan: plan}
+	result.LongestDelay, result.LongestDelayAt = r.ownDelays.longest()
 	for _, fault := range plan {
 		result.Faults[fault.Kind]++
 	}
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -134,13 +134,13 @@
 	for {
 		lines, newest, changed := d.run.list.since(revision)
 		if len(lines) > 0 || !watch || timeoutMs == 0 {
-			d.answer(w, newest, !watch, lines)
+			d.answer(w, r, newest, !watch, lines)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			d.answer(w, newest, false, nil)
+			d.answer(w, r, newest, false, nil)
 			return
 		case <-silenced:
 			<-r.Context().Done()
@@ -154,8 +154,13 @@
 	}
 }
 
-// answer writes a list. The node counts as notified once it is written.
-func (d *discovery) answer(w http.ResponseWriter, revision int, full bool, lines []listChange) {
+// answer writes a list. The node counts as notified once it is written. To a call that the node has ended meanwhile, as at
+// a change of the address, nothing can be written: that is kept for the report.
+func (d *discovery) answer(w http.ResponseWriter, r *http.Request, revision int, full bool, lines []listChange) {
+	if r.Context().Err() != nil {
+		d.run.nodes[d.node].log.note(fmt.Sprintf("call ended by the node before its answer with revision %d", revision))
+		return
+	}
 	if full { // a full list has no lines of endpoints that were removed
 		lines = slices.DeleteFunc(lines, func(line listChange) bool { return line.state == stateRemoved })
 	}
--- a/internal/soak/logwatch.go
+++ b/internal/soak/logwatch.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// note keeps a line of this process beside those on discovery.
+func (l *logWatch) note(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.discovery = append(l.discovery, fmt.Sprintf("%.3f soak: %s", l.run.now().Seconds(), text))
+}
+
 func containsAny(line []byte, texts [][]byte) bool {
 	return slices.ContainsFunc(texts, func(text []byte) bool { return bytes.Contains(line, text) })
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,6 +63,7 @@
 	record    *record
 	done      <-chan struct{} // closed at the end of the run
 	clients   sync.WaitGroup
+	ownDelays delayWatch
 	schedules sync.WaitGroup
 }
 
@@ -97,6 +98,7 @@
 	if err := r.startProcesses(); err != nil {
 		return Result{}, err
 	}
+	r.clients.Go(func() { r.ownDelays.watch(r) })
 	r.startClients()
 	r.startCrowds()
 	plan := draw(options)
