Look whether the client of a large request has disconnected before it is sent

Symptom: a large request starts at a backend up to 0.5 s after its client's disconnect (soak). Cause: its connection is detached from the poller while it waits, and the look at the client skipped detached connections. Change: the kernel is asked about the descriptor as about a polled connection. Measured: TestClientDisconnectBeforeUploadStarts, one request reached the backend before, none after.

--- a/internal/node/peerstate.go
+++ b/internal/node/peerstate.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"os"
+
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 )
@@ -33,7 +35,24 @@
 	if !ok {
 		return peerBroken
 	}
-	descriptors := []unix.PollFd{{Fd: int32(c.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
+	return pollPeerState(c.Fd())
+}
+
+// queryDescriptor asks the kernel about a connection that is detached from the poller.
+func queryDescriptor(descriptor *os.File) (state peerState) {
+	raw, err := descriptor.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { state = pollPeerState(int(fd)) })
+	}
+	if err != nil {
+		return peerBroken
+	}
+	return state
+}
+
+// pollPeerState asks the kernel about an open descriptor.
+func pollPeerState(fd int) peerState {
+	descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 	for {
 		_, err := unix.Poll(descriptors, 0)
 		if err == unix.EINTR {
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -149,13 +149,16 @@
 	return s.conn.IsActive() && s.unreadInput() == 0
 }
 
-// peerHasEnded reports whether the peer has closed or reset the connection, also if the poller has not noticed yet.
-// While the connection is being written, or is detached, the writer or reader finds out.
+// peerHasEnded reports whether the peer has closed or reset the connection, also if the poller has not noticed yet, or
+// does not know the connection as it is detached. While it is being written, the writer finds out.
 func (s *socket) peerHasEnded() bool {
-	if s.descriptor != nil || !s.mu.TryLock() {
+	if !s.mu.TryLock() {
 		return false
 	}
 	defer s.mu.Unlock()
+	if s.descriptor != nil {
+		return queryDescriptor(s.descriptor) != peerOpen
+	}
 	return s.transportClosed || !s.conn.IsActive() || queryPeerState(s.conn) != peerOpen
 }
 
