Have the poller pause once in each round while it may not read

Cause: while the kernel had input that could not be read, the poller looked again for 0.1 ms in each 0.2 ms; a node with a quarter of a core spent it on that, and the event loop fell behind further. Change: one pause of 0.5 ms in each round of the poller, four posted pieces for a connection, a quarter of the memory limit for all.

--- a/internal/node/readlimit.go
+++ b/internal/node/readlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"reflect"
 	"runtime"
 	"sync"
@@ -18,9 +19,9 @@
 // protocol.BufferSize, as each piece that is posted takes a whole one.
 const (
 	// maxPostedPieces bounds the pieces of one connection that are posted; one more buffer may have been read.
-	maxPostedPieces = 2
+	maxPostedPieces = 4
 	// unprocessedMemoryDivisor bounds it for all connections, as a part of the node's memory limit.
-	unprocessedMemoryDivisor = 8
+	unprocessedMemoryDivisor = 4
 	// defaultUnprocessedMemory is the bound for all connections of a node without a memory limit, in bytes.
 	defaultUnprocessedMemory = 8 << 20
 )
@@ -46,6 +47,8 @@
 	budget *readBudget
 	conn   netpoll.Connection
 
+	deniedAt uint64 // the count of pauses when the poller was last told not to read it; only the poller uses it
+
 	mu      sync.Mutex
 	unread  int  // bytes that the poller has read and nobody has taken
 	posted  int  // pieces that are posted to the event loop
@@ -65,7 +68,7 @@
 		return nil, err
 	}
 	defer unlock()
-	limiter := &readLimiter{budget: budget, conn: conn}
+	limiter := &readLimiter{budget: budget, conn: conn, deniedAt: math.MaxUint64}
 	inputs, acknowledge := operator.Inputs, operator.InputAck
 	operator.Inputs = func(vectors [][]byte) [][]byte { return limiter.space(inputs, vectors) }
 	operator.InputAck = func(n int) error {
@@ -85,7 +88,7 @@
 		return vectors
 	}
 	if queryPeerState(l.conn) == peerOpen {
-		waitForEventLoop()
+		l.waitForEventLoop()
 		return nil
 	}
 	return inputs(vectors)
@@ -152,23 +155,21 @@
 	l.charge()
 }
 
-// pollerPause is how long the poller waits if it may not read what the kernel has. At least as much time passes
-// between two pauses, in which it serves the other connections.
-const pollerPause = 100 * time.Microsecond
-
-// lastPollerPause is when the last pause ended, in nanoseconds since the process began to measure.
-var lastPollerPause atomic.Int64
+// pollerPause is how long the poller waits before it looks again at connections that it may not read. It must not spin:
+// the event loop, on which it waits, may have but a part of one core with it.
+const pollerPause = 500 * time.Microsecond
 
-// pollerClockStart is where lastPollerPause counts from.
-var pollerClockStart = time.Now()
+// pollerPauses counts the pauses. Only the poller's goroutine uses it, and the counts that limiters keep of it.
+var pollerPauses uint64
 
-// waitForEventLoop keeps the poller, to which the kernel reports unread input again and again, from using a core.
-func waitForEventLoop() {
-	if int64(time.Since(pollerClockStart))-lastPollerPause.Load() < int64(pollerPause) {
-		return
+// waitForEventLoop is called each time that the connection may not be read. It pauses if the poller has found that before
+// since the last pause: once for all connections in each round of the poller.
+func (l *readLimiter) waitForEventLoop() {
+	if l.deniedAt == pollerPauses {
+		time.Sleep(pollerPause)
+		pollerPauses++
 	}
-	time.Sleep(pollerPause)
-	lastPollerPause.Store(int64(time.Since(pollerClockStart)))
+	l.deniedAt = pollerPauses
 }
 
 // errNoOperator reports that netpoll's connection has a form that this package does not know.
