--- a/internal/soak/crowd.go
+++ b/internal/soak/crowd.go
@@ -72,6 +72,7 @@
 func (r *run) keepCrowding(n *node, behave func(*run, net.Conn)) {
 	for !r.ended() {
 		if conn, err := net.DialTimeout("tcp", n.listen, connectTimeout); err == nil {
+			_ = conn.SetDeadline(time.Now().Add(crowdMostLength)) // it fails on closed connections only
 			behave(r, conn)
 			_ = conn.Close() // the node may have closed it
 		}
