--- a/internal/node/uploaddeadline_test.go
+++ b/internal/node/uploaddeadline_test.go
@@ -101,7 +101,7 @@
 func TestStatedDeadlineOfPipelinedUpload(t *testing.T) {
 	t.Parallel()
 	stated := make(chan int, 1)
-	backend := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	backend := newTestBackend(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			time.Sleep(500 * time.Millisecond)
 			return
