--- a/cmd/tulipglade/stale_list_test.go
+++ b/cmd/tulipglade/stale_list_test.go
@@ -51,6 +51,7 @@
 	address            string
 	process            int
 	answered, rejected *atomic.Int32
+	pause              time.Duration // after each request
 }
 
 // run sends requests until stop is closed.
@@ -78,6 +79,7 @@
 			t.Errorf("process %d: status %d", c.process, status)
 			return
 		}
+		time.Sleep(c.pause)
 	}
 }
 
