Log how each call to discovery ended and what it did to the lease on the list

The users' logs could not say what a call to discovery brought, by which proof the list in use went on counting as current, or how often that happened. At debug level each call is now logged with its outcome, a count of calls that ended so, the revision before and after and the time it took; each lease with its evidence and its end before and after; a violation found by the audit says for how long the list still counted.

--- a/internal/balancer/api.go
+++ b/internal/balancer/api.go
@@ -119,8 +119,26 @@
 	ListFailed                     // the call was refused, or its connection broke
 	ListTimeout                    // the call had no answer; other nodes' watches may still get changes
 	ListOverloaded                 // the call was rejected after a wait: discovery has too many callers
+	listKinds
 )
 
+var listKindNames = [listKinds]string{
+	ListDelta:      "changes",
+	ListFull:       "full list",
+	ListCached:     "cached list",
+	ListFailed:     "failed",
+	ListTimeout:    "timed out",
+	ListOverloaded: "overloaded",
+}
+
+// String names the kind as logs do.
+func (k ListKind) String() string {
+	if k < listKinds {
+		return listKindNames[k]
+	}
+	return "unknown"
+}
+
 // LoadReport is an endpoint's own account of its load; a field that is not reported is negative.
 type LoadReport struct{ Outstanding, Backlog, Utilization float64 }
 
--- a/internal/daemon/discoveryconn.go
+++ b/internal/daemon/discoveryconn.go
@@ -112,7 +112,7 @@
 			return fmt.Errorf("%w: %w", errNoAnswer, result.err)
 		}
 		if result.err != nil {
-			return result.err
+			return fmt.Errorf("%w: %w", errUnreachable, result.err)
 		}
 		return c.attach(result.conn)
 	}
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -123,7 +123,7 @@
 }
 
 func (s *server) createNode() error {
-	s.watch = newWatch(s.config.Discovery, s.endpoints.Revision)
+	s.watch = newWatch(s.config.Discovery, s.endpoints.Revision, s.log)
 	created, err := node.New(s.settings, s.watch, s.log)
 	if err != nil {
 		return err
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	minCallInterval   time.Duration
 	onPushFailure     func(error) // where lists are pushed: the watch never ends, and the first of failures in a row is passed to this
 
+	calls callLog // of run's goroutine
+
 	mutex               sync.Mutex
 	address             string
 	addressChanged      chan struct{} // closed, and replaced, as address changes
@@ -43,8 +46,9 @@
 	consecutiveTimeouts int // calls in a row that do not wait and timed out
 }
 
-func newWatch(address string, revision int64) *watch {
+func newWatch(address string, revision int64, log *slog.Logger) *watch {
 	return &watch{
+		calls:             callLog{log: log},
 		address:           address,
 		revision:          revision,
 		addressChanged:    make(chan struct{}),
--- a/internal/daemon/watch_errors.go
+++ b/internal/daemon/watch_errors.go
@@ -18,6 +18,8 @@
 	// errEmptyList is a full list without a live endpoint. A discovery that has only just started may answer so; to
 	// accept it would empty the fleet.
 	errEmptyList = errors.New("no live backends on a full list")
+	// errUnreachable is a call whose connection could not be opened: refused, or no route.
+	errUnreachable = errors.New("unreachable")
 	// errAddressChanged ends a call to an address of discovery that is no longer configured.
 	errAddressChanged = errors.New("address of discovery changed")
 	// errConnectionEnded is a connection that discovery closed before its answer was complete.
--- a/internal/daemon/watch_errors_test.go
+++ b/internal/daemon/watch_errors_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -37,7 +38,7 @@
 				}
 			}))
 			received := make(notifications, 1)
-			w := newWatch(server.Listener.Addr().String(), 1)
+			w := newWatch(server.Listener.Addr().String(), 1, slog.New(slog.DiscardHandler))
 			w.listener, w.queueingThreshold = received, c.queueingThreshold
 			w.Watch(true)
 			received.want(t, name)
@@ -65,7 +66,7 @@
 		defer func() { _ = conn.Close() }()
 	}
 	received := make(notifications, 1)
-	w := newWatch(full.Addr().String(), 1)
+	w := newWatch(full.Addr().String(), 1, slog.New(slog.DiscardHandler))
 	w.listener, w.callTimeout, w.queueingThreshold = received, 50*time.Millisecond, 0
 	w.Watch(true)
 	received.want(t, "timeout")
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tulipglade/internal/protocol"
@@ -33,11 +32,12 @@
 		connection = next.connection
 		time.Sleep(next.delay)
 		result := next.do()
+		result.err = w.classify(result)
+		w.calls.record(result, next.revision)
 		if errors.Is(result.err, errAddressChanged) {
 			continue
 		}
 		w.countTimeouts(result)
-		result.err = w.classify(result)
 		if w.onPushFailure != nil && result.err != nil {
 			if !failing {
 				w.onPushFailure(result.err)
@@ -130,19 +130,15 @@
 		}
 		return nil
 	}
-	queued := result.wait == 0 && time.Since(result.start) >= w.queueingThreshold
-	if queued && !errors.Is(err, errNoAnswer) && !errors.Is(err, errInvalidList) {
+	if errors.Is(err, errNoAnswer) || errors.Is(err, errInvalidList) || errors.Is(err, errAddressChanged) {
+		return err
+	}
+	if queued := result.wait == 0 && time.Since(result.start) >= w.queueingThreshold; queued {
 		return fmt.Errorf("%w: %w", errOverloaded, err)
 	}
 	return err
 }
 
-func hasLiveEndpoint(list protocol.List) bool {
-	return slices.ContainsFunc(list.Targets, func(target protocol.Target) bool {
-		return target.State != protocol.Terminated
-	})
-}
-
 // endAfterFailure ends the watch, before the decision module learns of the failure and may restart it. It returns false
 // where the address has changed in this moment.
 func (w *watch) endAfterFailure(address string) bool {
--- a/internal/daemon/watch_push_test.go
+++ b/internal/daemon/watch_push_test.go
@@ -44,7 +44,7 @@
 	defer next.Close()
 	defer next.CloseClientConnections()
 	received := make(notifications, 10)
-	w := newWatch(server.Listener.Addr().String(), 41)
+	w := newWatch(server.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
 	w.listener, w.minCallInterval = received, time.Millisecond
 	for _, a := range []string{"", "no answer", `{"rev":1,"all":true,"targets":[]}`, `{"rev":42,"all":false,"targets":[]}`,
 		"no answer", `{"rev":43,"all":false,"targets":[]}`} {
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,7 +63,7 @@
 	defer server.Close()
 	defer server.CloseClientConnections()
 	received := make(notifications, 10)
-	w := newWatch(server.Listener.Addr().String(), 41)
+	w := newWatch(server.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
 	w.listener, w.waitJitter = received, 0
 	w.Watch(true)
 	w.Watch(true) // already watching: no second call
@@ -113,7 +114,7 @@
 	defer next.Close()
 	defer next.CloseClientConnections()
 	received := make(notifications, 10)
-	w := newWatch(old.Listener.Addr().String(), 41)
+	w := newWatch(old.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
 	w.listener, w.waitJitter, w.callTimeout = received, 0, time.Minute // longer than this test takes
 	w.Watch(true)
 	if got := <-oldCalls; got != "/v1/endpoints?since=41&timeout_ms=0" {
@@ -149,7 +150,7 @@
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { respond(w, list) }))
 		received := make(notifications, 100)
-		w := newWatch(server.Listener.Addr().String(), 1)
+		w := newWatch(server.Listener.Addr().String(), 1, slog.New(slog.DiscardHandler))
 		w.listener = received
 		w.Watch(true)
 		received.want(t, want)
@@ -174,7 +175,7 @@
 // have when it was due.
 func TestAddressChangeAndLateAnswersLimitListValidity(t *testing.T) {
 	received := addressNotifications{make(notifications, 10), make(chan time.Duration, 1), make(chan time.Time, 1)}
-	w := newWatch("127.0.0.1:1", 41)
+	w := newWatch("127.0.0.1:1", 41, slog.New(slog.DiscardHandler))
 	w.listener = received
 	w.SetAddress("127.0.0.1:2")
 	if len(received.validities) == 0 { // it is reported within the call
--- a/internal/daemon/watch_timing_test.go
+++ b/internal/daemon/watch_timing_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -16,7 +17,7 @@
 	}))
 	defer server.Close()
 	received := make(notifications, 100)
-	w := newWatch(server.Listener.Addr().String(), 1)
+	w := newWatch(server.Listener.Addr().String(), 1, slog.New(slog.DiscardHandler))
 	w.listener, w.minCallInterval = received, 20*time.Millisecond
 	began := time.Now()
 	w.Watch(true)
@@ -38,7 +39,7 @@
 	}
 	_ = ln.Close() // connections are refused from here on
 	received := make(notifications, 100)
-	w := newWatch(ln.Addr().String(), 1)
+	w := newWatch(ln.Addr().String(), 1, slog.New(slog.DiscardHandler))
 	w.listener, w.minCallInterval = received, 20*time.Millisecond
 	began := time.Now()
 	for range 5 {
@@ -59,7 +60,7 @@
 	}
 	defer func() { _ = ln.Close() }()
 	received := make(notifications, 1)
-	w := newWatch(ln.Addr().String(), 1)
+	w := newWatch(ln.Addr().String(), 1, slog.New(slog.DiscardHandler))
 	w.listener, w.callTimeout = received, 50*time.Millisecond
 	w.Watch(true)
 	received.want(t, "timeout")
@@ -86,7 +87,7 @@
 	defer server.Close()
 	defer server.CloseClientConnections()
 	received := make(notifications, 50)
-	w := newWatch(server.Listener.Addr().String(), 41)
+	w := newWatch(server.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
 	w.listener, w.minCallInterval, w.watchSlack, w.callTimeout = received, time.Millisecond, time.Millisecond, time.Minute
 	w.maxWait, w.waitJitter = 200*time.Millisecond, 100*time.Millisecond
 	w.Watch(true)
@@ -125,7 +126,7 @@
 	defer server.Close()
 	defer server.CloseClientConnections()
 	received := make(notifications, 10)
-	w := newWatch(server.Listener.Addr().String(), 41)
+	w := newWatch(server.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
 	w.listener, w.callTimeout, w.minCallInterval = received, 200*time.Millisecond, time.Millisecond
 	w.Watch(true)
 	received.want(t, "timeout")
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -52,7 +52,8 @@
 // recordViolation counts and logs an attempt that should not have started.
 func (n *Node) recordViolation(att *attempt, reason safety.Reason, excess int64) {
 	n.violations[reason]++
+	_, listExpiresAt := n.balancer.ListCurrent(n.now())
 	n.log.Error("invariant violated", "rule", reason.String(), "by_us", excess,
 		"trace_id", att.request.traceID, "attempt", att.number,
-		"endpoint", att.endpoint.address, "rev", n.listRevision, "count", n.violations[reason])
+		"endpoint", att.endpoint.address, "rev", n.listRevision, "list_valid_us", listExpiresAt-n.now(), "count", n.violations[reason])
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -39,8 +39,7 @@
 		if len(endpoints) == 0 && kind == balancer.ListDelta && !n.settings.Balancer.PollDiscovery {
 			return // without polling, the balancer is notified of changes only
 		}
-		n.balancer.HandleEndpointsAsOf(n.now(), n.nodeTime(asOf), kind, endpoints)
-		n.updateListFreshness()
+		n.notifyBalancer(n.nodeTime(asOf), kind, endpoints)
 	})
 }
 
@@ -49,11 +48,22 @@
 func (n *Node) DiscoveryCallFailed(err error, how balancer.ListKind, asOf time.Time) {
 	n.post(func() {
 		n.log.Warn("discovery failed", "err", err)
-		n.balancer.HandleEndpointsAsOf(n.now(), n.nodeTime(asOf), how, nil)
-		n.updateListFreshness()
+		n.notifyBalancer(n.nodeTime(asOf), how, nil)
 	})
 }
 
+// notifyBalancer passes on what a call to discovery has brought, and traces what that means for the lease on the list.
+func (n *Node) notifyBalancer(asOf balancer.Time, kind balancer.ListKind, endpoints []balancer.Endpoint) {
+	_, until := n.balancer.ListCurrent(n.now())
+	n.balancer.HandleEndpointsAsOf(n.now(), asOf, kind, endpoints)
+	n.updateListFreshness()
+	if n.traceRequests {
+		_, renewed := n.balancer.ListCurrent(n.now())
+		n.log.Debug("endpoint list lease", "evidence", kind.String(), "rev", n.listRevision, "entries", len(endpoints),
+			"valid_us_before", until-n.now(), "valid_us", renewed-n.now())
+	}
+}
+
 // DiscoveryAddressChanged reports that discovery has a new address: what the old one answered expires within the
 // given time.
 func (n *Node) DiscoveryAddressChanged(within time.Duration) {
