Let an answer that cannot be used prove nothing about the endpoint list

An answer of discovery that is no list was reported as a failed call, which the lease takes for proof that nothing newer could be had: as long as such answers came, the node sent by the list before, also to backends that were removed meanwhile. What was handed over and could not be used was so better than silence.

Such answers, and ones that are not HTTP, are a kind of their own (ListInvalid, staleness.Unusable).

--- a/internal/balancer/api.go
+++ b/internal/balancer/api.go
@@ -119,6 +119,7 @@
 	ListFailed                     // the call was refused, or its connection broke
 	ListTimeout                    // the call had no answer; other nodes' watches may still get changes
 	ListOverloaded                 // the call was rejected after a wait: discovery has too many callers
+	ListInvalid                    // discovery answered, but with nothing that can be used as a list
 	listKinds
 )
 
@@ -129,6 +130,7 @@
 	ListFailed:     "failed",
 	ListTimeout:    "timed out",
 	ListOverloaded: "overloaded",
+	ListInvalid:    "invalid",
 }
 
 // String names the kind as logs do.
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -49,7 +49,7 @@
 	}
 	b.recordListEvidence(kind, asOf)
 	switch kind {
-	case ListFailed, ListTimeout, ListOverloaded:
+	case ListFailed, ListTimeout, ListOverloaded, ListInvalid:
 		b.backOff(kind)
 		b.dispatch() // the failure may be evidence that the list is current
 		return
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -13,7 +13,7 @@
 	firstLeasedPollFraction   = 1.0 / 12  // of NotificationDeadline, if nothing is sent before the answer
 	pollSpacingFraction       = 1.0 / 160 // of PollInterval for each other node, to spread their calls
 	maxBackoffFraction        = 0.5       // of NotificationDeadline: longest backoff after a failed call
-	maxTimeoutBackoffFraction = 0.1       // and after one that had no answer
+	maxTimeoutBackoffFraction = 0.1       // and after one that had no answer, or none that could be used
 )
 
 // pollSchedule is when discovery is called.
@@ -62,7 +62,7 @@
 func (b *Balancer) maxBackoff(kind ListKind) float64 {
 	deadline := float64(NotificationDeadline)
 	switch {
-	case kind == ListTimeout:
+	case kind == ListTimeout || kind == ListInvalid:
 		return maxTimeoutBackoffFraction * deadline
 	case kind == ListOverloaded && !b.listLease.Bounded():
 		// If all nodes called sooner, discovery could not answer them in time.
@@ -98,6 +98,8 @@
 		b.listLease.Record(staleness.Rejected, asOf)
 	case ListTimeout:
 		b.listLease.Record(staleness.NoAnswer, asOf)
+	case ListInvalid:
+		b.listLease.Record(staleness.Unusable, asOf)
 	}
 }
 
--- a/internal/daemon/discoveryconn.go
+++ b/internal/daemon/discoveryconn.go
@@ -161,7 +161,7 @@
 		}
 		n, complete, err := message.Response(buffer)
 		if err != nil {
-			return nil, false, err
+			return nil, false, fmt.Errorf("%w: %w", errInvalidList, err)
 		}
 		buffer = buffer[:n]
 		if complete {
--- a/internal/daemon/watch_errors.go
+++ b/internal/daemon/watch_errors.go
@@ -13,7 +13,7 @@
 	errNoAnswer = errors.New("no answer in time")
 	// errOverloaded is a call that was queued by discovery, and then rejected or reset.
 	errOverloaded = errors.New("too many callers")
-	// errInvalidList is an answer that is not a valid list, whenever it came.
+	// errInvalidList is an answer that is not a valid list, or not valid HTTP, whenever it came.
 	errInvalidList = errors.New("invalid list")
 	// errUnreachable is a call whose connection could not be opened: refused, or no route.
 	errUnreachable = errors.New("unreachable")
@@ -44,6 +44,8 @@
 	switch {
 	case errors.Is(err, errNoAnswer):
 		return balancer.ListTimeout
+	case errors.Is(err, errInvalidList):
+		return balancer.ListInvalid
 	case errors.Is(err, errOverloaded):
 		return balancer.ListOverloaded
 	}
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -18,8 +18,9 @@
 // The kinds of evidence.
 const (
 	Answered Evidence = iota // a valid answer: the list was current when it was written
-	Rejected                 // refused, reset or invalid: nothing newer could be had at that time
+	Rejected                 // refused or reset: nothing newer could be had at that time
 	NoAnswer                 // timed out: a newer list may have been lost on its way
+	Unusable                 // answered with what can't be used: discovery is there, and may have a newer list
 )
 
 // maxUnanswered is how many consecutive calls may time out before discovery counts as unreachable. The first may be
@@ -42,11 +43,15 @@
 
 // Record takes what a call has shown: that as of a time the list was current, or nothing newer could be had. For an
 // answer that is the time of its arrival, and no later than the call was to wait; for a rejection the time of the
-// rejection; for a timeout the time when the call began.
+// rejection; for a timeout the time when the call began. An answer that can't be used extends nothing.
 func (l *Lease) Record(evidence Evidence, asOf Time) {
-	if evidence != NoAnswer {
+	switch evidence {
+	case Answered, Rejected:
 		l.unanswered = 0
-	} else {
+	case Unusable:
+		l.unanswered = 0
+		return
+	case NoAnswer:
 		l.unanswered++
 		if l.unanswered < maxUnanswered {
 			return
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -22,6 +22,10 @@
 		"first call timed out":                {[]note{{NoAnswer, 300}}, 300 + length},
 		"a watch timed out":                   {[]note{{Answered, 200}, {NoAnswer, 300}}, 200 + length},
 		"a watch and the next call timed out": {[]note{{Answered, 200}, {NoAnswer, 300}, {NoAnswer, 400}}, 400 + length},
+		"unusable":                            {[]note{{Answered, 200}, {Unusable, 300}}, 200 + length},
+		"an unusable answer between two timeouts": {
+			[]note{{Answered, 200}, {NoAnswer, 300}, {Unusable, 350}, {NoAnswer, 400}}, 200 + length,
+		},
 		"a rejection between two timeouts": {
 			[]note{{Answered, 200}, {NoAnswer, 300}, {Rejected, 350}, {NoAnswer, 400}}, 350 + length,
 		},
