Use the other entries of a list where one cannot be read or stands there twice

One entry with an unknown state, an endpoint or a start that cannot be read, or a second entry for one backend, had the whole answer refused: what it said of all other backends was not used, and requests went on to those that it left out. The change counts as notified once the answer was written, whichever entry beside it is odd.

Now only what is no list at all is refused (ParseAnswer). An entry that cannot be read takes itself out: its backend is listed as unknown and gets nothing new until a list states it again; one without a uid is left out. Of two unlike entries of a full list the more restrictive state counts. A configuration is still checked strictly (ParseList, tests unchanged). One warning names revision, number and first cause.

--- a/internal/daemon/discoveryconn.go
+++ b/internal/daemon/discoveryconn.go
@@ -34,37 +34,43 @@
 	c.conn = nil
 }
 
+// answer is what discovery has answered: a list, and why entries of it could not be read.
+type answer struct {
+	list    protocol.List
+	invalid []error
+}
+
 // roundTrip makes one call and reads its answer within the timeout. After an error the connection is closed.
-func (c *discoveryConn) roundTrip(request []byte, timeout time.Duration) (protocol.List, error) {
-	list, err := c.call(request, timeout)
+func (c *discoveryConn) roundTrip(request []byte, timeout time.Duration) (answer, error) {
+	received, err := c.call(request, timeout)
 	if err != nil {
 		c.close()
-		return list, fmt.Errorf("discovery at %s: %w", c.address, err)
+		return answer{}, fmt.Errorf("discovery at %s: %w", c.address, err)
 	}
-	return list, nil
+	return received, nil
 }
 
-func (c *discoveryConn) call(request []byte, timeout time.Duration) (protocol.List, error) {
+func (c *discoveryConn) call(request []byte, timeout time.Duration) (answer, error) {
 	deadline := time.NewTimer(timeout)
 	defer deadline.Stop()
 	if err := c.connect(min(timeout, dialTimeout)); err != nil {
-		return protocol.List{}, err
+		return answer{}, err
 	}
 	if err := c.send(request, timeout); err != nil {
-		return protocol.List{}, err
+		return answer{}, err
 	}
 	body, keepAlive, err := c.readResponse(deadline.C)
 	if err != nil {
-		return protocol.List{}, err
+		return answer{}, err
 	}
 	if !keepAlive {
 		c.close()
 	}
-	list, err := protocol.ParseList(body)
+	list, invalid, err := protocol.ParseAnswer(body)
 	if err != nil {
-		return list, fmt.Errorf("%w: %w", errInvalidList, err)
+		return answer{}, fmt.Errorf("%w: %w, %d bytes", errInvalidList, err, len(body))
 	}
-	return list, nil
+	return answer{list, invalid}, nil
 }
 
 // connect opens the connection unless the last one is still open.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -132,10 +132,10 @@
 	w.mutex.Unlock()
 	defer connection.close()
 	start := time.Now()
-	list, err := connection.roundTrip(protocol.AppendListRequest(nil, connection.address), timeout)
+	received, err := connection.roundTrip(protocol.AppendListRequest(nil, connection.address), timeout)
 	if errors.Is(err, errAddressChanged) {
 		return false
 	}
-	w.report(callResult{address: connection.address, list: list, err: err, start: start})
+	w.report(callResult{address: connection.address, answer: received, err: err, start: start})
 	return true
 }
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -12,10 +12,10 @@
 // callResult is what one call to discovery has brought.
 type callResult struct {
 	address string
-	list    protocol.List
-	err     error
-	start   time.Time
-	wait    time.Duration // how long discovery was allowed to wait for events
+	answer
+	err   error
+	start time.Time
+	wait  time.Duration // how long discovery was allowed to wait for events
 }
 
 // run makes one call after the other until one fails. The first fetches what has been missed and does not wait, so that
@@ -69,8 +69,8 @@
 // do makes the call.
 func (p plannedCall) do() callResult {
 	start := time.Now()
-	list, err := p.connection.roundTrip(p.request(), p.wait+p.slack)
-	return callResult{address: p.connection.address, list: list, err: err, start: start, wait: p.wait}
+	received, err := p.connection.roundTrip(p.request(), p.wait+p.slack)
+	return callResult{address: p.connection.address, answer: received, err: err, start: start, wait: p.wait}
 }
 
 func (p plannedCall) request() []byte {
@@ -157,6 +157,9 @@
 		w.listener.DiscoveryCallFailed(result.err, failureKind(result.err), asOf)
 		return
 	}
+	if len(result.invalid) > 0 {
+		w.calls.log.Warn("endpoint list has invalid entries", "rev", result.list.Revision, "entries", len(result.invalid), "first", result.invalid[0])
+	}
 	w.listener.UpdateEndpointsAsOf(result.list, w.acceptRevision(result))
 }
 
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -204,13 +204,13 @@
 		{"late", "127.0.0.1:2", start.Add(time.Second + answerLatencyTolerance)},
 		{"from the old address", "127.0.0.1:1", time.Time{}},
 	} {
-		w.report(callResult{address: c.address, list: protocol.List{Revision: 42}, start: start, wait: time.Second})
+		w.report(callResult{address: c.address, answer: answer{list: protocol.List{Revision: 42}}, start: start, wait: time.Second})
 		if got := <-received.asOf; !got.Equal(c.want) {
 			t.Errorf("%s: as of %v, want %v", c.name, got, c.want)
 		}
 	}
 	before := time.Now()
-	w.report(callResult{address: "127.0.0.1:2", list: protocol.List{Revision: 43}, start: before, wait: time.Hour})
+	w.report(callResult{address: "127.0.0.1:2", answer: answer{list: protocol.List{Revision: 43}}, start: before, wait: time.Hour})
 	if got := <-received.asOf; got.Before(before) || got.After(time.Now()) {
 		t.Errorf("a prompt answer: as of %v", got)
 	}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -62,6 +62,9 @@
 	changed := make([]balancer.Endpoint, 0, len(update.Targets))
 	listed := make(map[*endpoint]bool, len(update.Targets))
 	for _, target := range update.Targets {
+		if target.State == protocol.Unknown {
+			target = n.assumeDraining(target.UID)
+		}
 		ep := n.findOrAddEndpoint(target, outdated)
 		if ep == nil {
 			continue
@@ -82,6 +85,18 @@
 	return changed, kind
 }
 
+// assumeDraining returns what is assumed of a backend whose entry could not be read: that it drains, and else is as before.
+// One that is not known is as one that was removed.
+func (n *Node) assumeDraining(uid string) protocol.Target {
+	ep := n.endpointsByUID[uid]
+	if ep == nil {
+		return protocol.Target{UID: uid, State: protocol.Terminated}
+	}
+	target := ep.target(uid)
+	target.State = max(target.State, protocol.Terminating)
+	return target
+}
+
 // findOrAddEndpoint returns the endpoint of an entry, or nil if the entry must be ignored: it reports the removal of an
 // unknown endpoint, or is older than what is known of the endpoint.
 func (n *Node) findOrAddEndpoint(target protocol.Target, outdated bool) *endpoint {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -16,8 +16,21 @@
 	InService State = iota
 	Terminating
 	Terminated
+	// Unknown is the state of a backend whose entry in a list cannot be read. It gets no new requests until a list states it again.
+	Unknown
 )
 
+// restriction orders the states by how little may be sent to a backend.
+var restriction = map[State]int{InService: 0, Terminating: 1, Unknown: 1, Terminated: 2}
+
+// RestrictedBy returns the more restrictive of two states that a list gives for one backend, the first of equals.
+func (s State) RestrictedBy(other State) State {
+	if restriction[other] > restriction[s] {
+		return other
+	}
+	return s
+}
+
 // statesByName are the names of the states on the wire.
 var statesByName = map[string]State{
 	"in_service":  InService,
@@ -67,43 +80,106 @@
 	BootMs   int64   `json:"boot_ms"`
 }
 
-// ParseList parses a list of discovery's. An error names the field at fault.
+// ParseList parses a list of which every entry must be valid, as in a configuration. An error names the field at fault.
 func ParseList(raw []byte) (List, error) {
-	var document listJSON
-	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &document); err != nil {
-		return List{}, fmt.Errorf("list of backends: %w", err)
+	list, invalid, err := ParseAnswer(raw)
+	if err == nil && len(invalid) > 0 {
+		err = invalid[0]
+	}
+	if err != nil {
+		return List{}, err
+	}
+	return list, nil
+}
+
+// ParseAnswer parses an answer of discovery. An entry that cannot be read does not spoil the others: its backend is listed
+// in state Unknown if the entry has a UID, and left out if not, and invalid says why. If a full list has unlike entries
+// for one backend, its state is the more restrictive one. Only what is not a list at all is an error.
+func ParseAnswer(raw []byte) (list List, invalid []error, err error) {
+	document, undecodable, err := decodeList(raw)
+	if err != nil {
+		return List{}, nil, fmt.Errorf("list of backends: %w", err)
 	}
 	if len(document.Targets) > maxTargets {
-		return List{}, fmt.Errorf("list of backends: %d targets, over %d", len(document.Targets), maxTargets)
+		return List{}, nil, fmt.Errorf("list of backends: %d targets, over %d", len(document.Targets), maxTargets)
 	}
-	list := List{Revision: document.Rev, Full: document.All, Targets: make([]Target, 0, len(document.Targets))}
-	byUID := make(map[string]Target, len(document.Targets))
+	list = List{Revision: document.Rev, Full: document.All, Targets: make([]Target, 0, len(document.Targets))}
+	positions := make(map[string]int, len(document.Targets))
 	for i, entry := range document.Targets {
 		target, err := convertTarget(entry, i)
+		if cause := undecodable[i]; cause != nil {
+			err = fmt.Errorf("targets[%d]: %w", i, cause)
+		}
 		if err != nil {
-			return List{}, err
+			invalid = append(invalid, err)
 		}
-		// Among changes the last one counts. In a full list, nothing tells which of two different entries is valid.
-		if earlier, duplicate := byUID[target.UID]; list.Full && duplicate && earlier != target {
-			return List{}, fmt.Errorf("targets[%d].uid: %q is there twice, and not alike", i, target.UID)
+		if target.UID == "" {
+			continue
 		}
-		byUID[target.UID] = target
-		list.Targets = append(list.Targets, target)
+		position, duplicate := positions[target.UID]
+		if !list.Full || !duplicate || list.Targets[position] == target { // among changes the last one counts
+			positions[target.UID] = len(list.Targets)
+			list.Targets = append(list.Targets, target)
+			continue
+		}
+		invalid = append(invalid, fmt.Errorf("targets[%d].uid: %q is there twice, and not alike", i, target.UID))
+		earlier := &list.Targets[position]
+		earlier.State = earlier.State.RestrictedBy(target.State)
 	}
-	return list, nil
+	return list, invalid, nil
 }
 
-// convertTarget checks the entry at an index and converts it.
-func convertTarget(entry targetJSON, index int) (Target, error) {
-	state, ok := statesByName[entry.State]
-	if !ok {
-		return Target{}, fmt.Errorf("targets[%d].state: unknown state %q", index, entry.State)
+// decodeList decodes a list from its form on the wire. Where it cannot be decoded as a whole, it is entry by entry: those
+// that cannot be decoded have no more than a UID, and undecodable says why, by their index.
+func decodeList(raw []byte) (document listJSON, undecodable map[int]error, err error) {
+	decoder := jsoniter.ConfigCompatibleWithStandardLibrary
+	if err = decoder.Unmarshal(raw, &document); err == nil {
+		return document, nil, nil
 	}
+	var outline struct {
+		Rev     int64                 `json:"rev"`
+		All     bool                  `json:"all"`
+		Targets []jsoniter.RawMessage `json:"targets"`
+	}
+	if decoder.Unmarshal(raw, &outline) != nil {
+		return listJSON{}, nil, err
+	}
+	document = listJSON{Rev: outline.Rev, All: outline.All, Targets: make([]targetJSON, len(outline.Targets))}
+	undecodable = map[int]error{}
+	for i, rawEntry := range outline.Targets {
+		var entry targetJSON
+		if err := decoder.Unmarshal(rawEntry, &entry); err != nil {
+			undecodable[i] = err
+			entry = targetJSON{UID: entryUID(rawEntry)}
+		}
+		document.Targets[i] = entry
+	}
+	return document, undecodable, nil
+}
+
+// entryUID returns the UID of an entry that cannot be decoded as a whole, or nothing.
+func entryUID(raw []byte) string {
+	var entry struct {
+		UID string `json:"uid"`
+	}
+	if jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &entry) != nil {
+		return ""
+	}
+	return entry.UID
+}
+
+// convertTarget checks the entry at an index and converts it. Beside an error, it returns what is known of the backend.
+func convertTarget(entry targetJSON, index int) (Target, error) {
 	if entry.UID == "" {
 		return Target{}, fmt.Errorf("targets[%d].uid: empty", index)
 	}
+	unknown := Target{UID: entry.UID, State: Unknown}
+	state, ok := statesByName[entry.State]
+	if !ok {
+		return unknown, fmt.Errorf("targets[%d].state: unknown state %q", index, entry.State)
+	}
 	if _, err := netip.ParseAddrPort(entry.Endpoint); err != nil && state != Terminated {
-		return Target{}, fmt.Errorf("targets[%d].endpoint: %w", index, err)
+		return unknown, fmt.Errorf("targets[%d].endpoint: %w", index, err)
 	}
 	return Target{
 		UID:      entry.UID,
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -44,6 +44,44 @@
 	}
 }
 
+// TestParseAnswerUsesTheOtherEntries has entries that cannot be read, or contradict each other.
+func TestParseAnswerUsesTheOtherEntries(t *testing.T) {
+	const good = `{"uid":"good","endpoint":"127.0.0.1:3000","state":"in_service"}`
+	read := Target{UID: "good", Endpoint: "127.0.0.1:3000"}
+	unknown := Target{UID: "odd", State: Unknown}
+	draining := Target{UID: "good", Endpoint: "127.0.0.1:3000", State: Terminating}
+	for _, c := range []struct {
+		name, entries string
+		want          []Target
+		invalid       string // of the first entry at fault
+	}{
+		{"unknown state", `{"uid":"odd","endpoint":"127.0.0.1:1","state":"idle"},` + good, []Target{unknown, read}, `targets[0].state: unknown state "idle"`},
+		{"no state", good + `,{"uid":"odd","endpoint":"127.0.0.1:1"}`, []Target{read, unknown}, "targets[1].state"},
+		{"a name for an address", `{"uid":"odd","endpoint":"app:1","state":"in_service"},` + good, []Target{unknown, read}, "targets[0].endpoint"},
+		{"a field of another type", `{"uid":"odd","endpoint":"127.0.0.1:1","state":"in_service","boot_ms":"x"},` + good, []Target{unknown, read}, "targets[0]"},
+		{"a uid of another type", `{"uid":7},` + good, []Target{read}, "targets[0]"},
+		{"no object", good + `,"odd"`, []Target{read}, "targets[1]"},
+		{"no uid", good + `,{"endpoint":"127.0.0.1:1","state":"in_service"}`, []Target{read}, "targets[1].uid"},
+		{"null", good + `,null`, []Target{read}, "targets[1].uid"},
+		{"twice", good + "," + strings.Replace(good, "in_service", "terminating", 1), []Target{draining}, `targets[1].uid: "good" is there twice`},
+		{"twice, the other way round", strings.Replace(good, "in_service", "terminating", 1) + "," + good, []Target{draining}, "targets[1].uid"},
+		{"twice, alike", good + "," + good, []Target{read, read}, ""},
+	} {
+		got, invalid, err := ParseAnswer([]byte(`{"rev":41,"all":true,"targets":[` + c.entries + `]}`))
+		if diff := cmp.Diff(List{41, true, c.want}, got); diff != "" || err != nil {
+			t.Errorf("%s: %v\n%s", c.name, err, diff)
+		}
+		if (len(invalid) > 0) != (c.invalid != "") || len(invalid) > 0 && !strings.Contains(invalid[0].Error(), c.invalid) {
+			t.Errorf("%s: %v, want %q", c.name, invalid, c.invalid)
+		}
+	}
+	for _, raw := range []string{``, `[]`, `{"rev":1,"all":true,"targets":{}}`, `{"rev":"x","all":true,"targets":[]}`, `{"rev":1,"all":1,"targets":[]}`} {
+		if _, _, err := ParseAnswer([]byte(raw)); err == nil {
+			t.Errorf("%s: taken for a list", raw)
+		}
+	}
+}
+
 func TestParseLoad(t *testing.T) {
 	for in, want := range map[string]Load{
 		"TEXT inflight=7, queue=2, util=0.61":  {7, 2, 0.61},
