Believe what a list with a lower revision leaves out, and confirm it in call order

A full list with a revision below the latest was used in part and counted as a whole: what it left out was never removed (applyEndpointList took it for changes), and from the second such answer on it renewed the lease (observeRevision), after a change of address from the first. So requests went on to removed backends without end.

Answers are now ordered by their calls (staleness.Revisions, in the watch): one that goes back restricts at once, as what it leaves out or drains gets nothing new, but proves nothing; the next call fetches the full list at once, and if it says the same, that is evidence. So a server that is behind revives nothing, and a restarted one is believed.

TestOutdatedListDoesNotRestoreEndpoints and TestOutdatedListDoesNotRenewLease said that what such a list leaves out stays and that numbers alone decide; they now want it out of service, and the order given. TestWatchFollowsChangedAddress uses a higher revision, and TestWatchConfirmsLowerRevision has the lower one.

--- a/internal/balancer/api.go
+++ b/internal/balancer/api.go
@@ -104,6 +104,9 @@
 	StartedAt  Time    // 0: long ago
 }
 
+// NoEvidence, as the time at which a list was current, says that it proves nothing of what is current.
+const NoEvidence Time = -1 << 63
+
 // ListKind says what a HandleEndpoints event carries.
 type ListKind uint8
 
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -91,6 +91,10 @@
 // recordListEvidence records what a call to discovery shows of the list's age. A list from a configuration
 // shows nothing.
 func (b *Balancer) recordListEvidence(kind ListKind, asOf Time) {
+	if asOf == NoEvidence && (kind == ListDelta || kind == ListFull) {
+		b.listLease.Record(staleness.Unusable, b.now)
+		return
+	}
 	switch kind {
 	case ListDelta, ListFull:
 		b.listLease.Record(staleness.Answered, asOf)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -8,12 +8,13 @@
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // endpointListener receives what calls to discovery bring.
 type endpointListener interface {
-	// UpdateEndpointsAsOf is an answer, and the time at which it was current.
-	UpdateEndpointsAsOf(list protocol.List, asOf time.Time)
+	// UpdateEndpointsAsOf is an answer, the time at which it was current, and how it relates to those before.
+	UpdateEndpointsAsOf(list protocol.List, asOf time.Time, order staleness.Order)
 	// DiscoveryCallFailed is a failed call, and the time as of which nothing newer could be had.
 	DiscoveryCallFailed(err error, kind balancer.ListKind, asOf time.Time)
 	// DiscoveryAddressChanged limits for how long the list received so far stays valid.
@@ -32,12 +33,14 @@
 	minCallInterval   time.Duration
 	onPushFailure     func(error) // where lists are pushed: the watch never ends, and the first of failures in a row is passed to this
 
-	calls callLog // of run's goroutine
+	calls     callLog   // of run's goroutine
+	startedAt time.Time // the origin of the times that revisions gets
 
 	mutex               sync.Mutex
 	address             string
 	addressChanged      chan struct{} // closed, and replaced, as address changes
-	revision            int64
+	revision            int64         // of the last answer
+	revisions           staleness.Revisions
 	needsFullList       bool // the next call fetches the full list: revisions of another address may mean nothing here
 	running             bool
 	active              bool
@@ -51,6 +54,8 @@
 		calls:             callLog{log: log},
 		address:           address,
 		revision:          revision,
+		revisions:         staleness.NewRevisions(revision),
+		startedAt:         time.Now(),
 		addressChanged:    make(chan struct{}),
 		maxWait:           maxWatchWait,
 		callTimeout:       immediateCallTimeout,
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // callResult is what one call to discovery has brought.
@@ -160,20 +161,25 @@
 	if len(result.invalid) > 0 {
 		w.calls.log.Warn("endpoint list has invalid entries", "rev", result.list.Revision, "entries", len(result.invalid), "first", result.invalid[0])
 	}
-	w.listener.UpdateEndpointsAsOf(result.list, w.acceptRevision(result))
+	asOf, order := w.acceptRevision(result)
+	w.listener.UpdateEndpointsAsOf(result.list, asOf, order)
 }
 
-// acceptRevision takes over the list's revision and returns the time at which the list was current. An answer from an
-// earlier address is still merged, but its revision does not count at the new one, and it proves no time.
-func (w *watch) acceptRevision(result callResult) time.Time {
+// acceptRevision takes over the list's revision, and returns the time at which the list was current and how it relates to
+// the answers before. An answer from an earlier address is still merged, but its revision does not count at the new one,
+// and it proves no time.
+func (w *watch) acceptRevision(result callResult) (asOf time.Time, order staleness.Order) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	list := result.list
 	if result.address != w.address {
-		return time.Time{}
+		return time.Time{}, w.revisions.Compare(list.Revision)
 	}
-	w.revision = result.list.Revision
-	w.needsFullList = w.needsFullList && !result.list.Full
-	return earlierOf(time.Now(), result.start.Add(result.wait+answerLatencyTolerance))
+	now := time.Since(w.startedAt).Microseconds()
+	order = w.revisions.Observe(now, list.Revision, list.Full)
+	w.revision = list.Revision
+	w.needsFullList = w.needsFullList && !list.Full || w.revisions.NeedsFullList(now)
+	return earlierOf(time.Now(), result.start.Add(result.wait+answerLatencyTolerance)), order
 }
 
 func earlierOf(a, b time.Time) time.Time {
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -13,12 +13,13 @@
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // notifications collects what a watch passes to its listener.
 type notifications chan string
 
-func (n notifications) UpdateEndpointsAsOf(list protocol.List, _ time.Time) {
+func (n notifications) UpdateEndpointsAsOf(list protocol.List, _ time.Time, _ staleness.Order) {
 	n <- fmt.Sprint("list ", list.Revision, list.Full)
 }
 
@@ -102,8 +103,8 @@
 	}))
 	defer old.Close()
 	lists := make(chan string, 2)
-	lists <- `{"rev":7,"all":true,"targets":[]}`
-	lists <- `{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"in_service"}]}`
+	lists <- `{"rev":47,"all":true,"targets":[]}`
+	lists <- `{"rev":47,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"in_service"}]}`
 	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.RequestURI
 		if strings.Contains(r.RequestURI, "timeout_ms=4000") {
@@ -127,26 +128,69 @@
 	case <-time.After(testTimeout):
 		t.Fatal("the call in flight goes on")
 	}
-	received.want(t, "list 7 true") // the empty list, and nothing before it
+	received.want(t, "list 47 true") // the empty list, and nothing before it
 	if got := <-calls; got != "/v1/endpoints" {
 		t.Error(got)
 	}
-	if got := <-calls; got != "/v1/endpoints?since=7&timeout_ms=4000" {
+	if got := <-calls; got != "/v1/endpoints?since=47&timeout_ms=4000" {
 		t.Error(got)
 	}
 	w.SetAddress("127.0.0.1:1") // nobody is there
 	received.want(t, "failed")
 	w.SetAddress(next.Listener.Addr().String())
-	received.want(t, "list 7 true")
+	received.want(t, "list 47 true")
 	var got []string
 	for range 2 {
 		got = append(got, <-calls)
 	}
-	if diff := cmp.Diff([]string{"/v1/endpoints", "/v1/endpoints?since=7&timeout_ms=4000"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"/v1/endpoints", "/v1/endpoints?since=47&timeout_ms=4000"}, got); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// A revision that goes back is confirmed by a second call for the full list, at once; the watch goes on from there.
+func TestWatchConfirmsLowerRevision(t *testing.T) {
+	calls := make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.RequestURI
+		if strings.Contains(r.RequestURI, "timeout_ms=4000") {
+			<-r.Context().Done()
+			return
+		}
+		respond(w, `{"rev":7,"all":true,"targets":[]}`)
+	}))
+	defer server.Close()
+	defer server.CloseClientConnections()
+	received := make(orders, 10)
+	w := newWatch(server.Listener.Addr().String(), 41, slog.New(slog.DiscardHandler))
+	w.listener, w.waitJitter = received, 0
+	w.Watch(true)
+	for _, want := range []string{"/v1/endpoints?since=41&timeout_ms=0", "/v1/endpoints", "/v1/endpoints?since=7&timeout_ms=4000"} {
+		select {
+		case got := <-calls:
+			if got != want {
+				t.Errorf("call %s, want %s", got, want)
+			}
+		case <-time.After(testTimeout):
+			t.Fatalf("no call %s", want)
+		}
+	}
+	for _, want := range []staleness.Order{staleness.Behind, staleness.BehindConfirmed} {
+		if got := <-received; got != want {
+			t.Errorf("order %d, want %d", got, want)
+		}
+	}
+}
+
+// orders collects how answers relate to those before.
+type orders chan staleness.Order
+
+func (o orders) UpdateEndpointsAsOf(_ protocol.List, _ time.Time, order staleness.Order) { o <- order }
+
+func (o orders) DiscoveryAddressChanged(time.Duration) {}
+
+func (o orders) DiscoveryCallFailed(error, balancer.ListKind, time.Time) {}
+
 // A full list counts whatever it says: also where it has no endpoints, or only terminated ones.
 func TestFullListWithoutLiveEndpointsIsAccepted(t *testing.T) {
 	for list, want := range map[string]string{
@@ -176,7 +220,9 @@
 
 func (m addressNotifications) DiscoveryAddressChanged(within time.Duration) { m.validities <- within }
 
-func (m addressNotifications) UpdateEndpointsAsOf(_ protocol.List, asOf time.Time) { m.asOf <- asOf }
+func (m addressNotifications) UpdateEndpointsAsOf(_ protocol.List, asOf time.Time, _ staleness.Order) {
+	m.asOf <- asOf
+}
 
 // A change of address is reported at once, also before the first call: the list received before is valid for 4 s at most.
 // An answer from the old address proves nothing of the list at the new one, and a late one proves no more than it would
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -5,21 +5,23 @@
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // UpdateEndpoints applies changes of the endpoint list. Cached says that the list may be out of date.
 func (n *Node) UpdateEndpoints(update protocol.List, cached bool) {
-	n.handleEndpointList(update, cached, time.Now())
+	n.handleEndpointList(update, cached, time.Now(), staleness.InOrder)
 }
 
-// UpdateEndpointsAsOf applies an answer of discovery that was current at a time.
-func (n *Node) UpdateEndpointsAsOf(update protocol.List, asOf time.Time) {
-	n.handleEndpointList(update, false, asOf)
+// UpdateEndpointsAsOf applies an answer of discovery that was current at a time; the zero time says that this is not known.
+// Order says how it relates to the answers before.
+func (n *Node) UpdateEndpointsAsOf(update protocol.List, asOf time.Time, order staleness.Order) {
+	n.handleEndpointList(update, false, asOf, order)
 }
 
 // handleEndpointList posts a change of the endpoint list to the event loop, which merges it and notifies the
 // balancer.
-func (n *Node) handleEndpointList(update protocol.List, cached bool, asOf time.Time) {
+func (n *Node) handleEndpointList(update protocol.List, cached bool, asOf time.Time, order staleness.Order) {
 	n.post(func() {
 		kind := balancer.ListDelta
 		if update.Full {
@@ -28,10 +30,11 @@
 		if cached {
 			kind = balancer.ListCached
 		}
-		if n.listFreshness.observeRevision(update.Revision, n.listRevision) {
-			asOf = time.Time{} // an outdated list is no evidence of what is current
+		evidence := balancer.NoEvidence
+		if order != staleness.Behind && !asOf.IsZero() {
+			evidence = n.nodeTime(asOf)
 		}
-		endpoints, kind := n.applyEndpointList(update, kind)
+		endpoints, kind := n.applyEndpointList(update, kind, order)
 		if cached || len(endpoints) > 0 {
 			n.log.Info("endpoint list updated", "rev", update.Revision, "all", update.Full, "cached", cached, "entries", len(endpoints))
 		}
@@ -39,7 +42,7 @@
 		if len(endpoints) == 0 && kind == balancer.ListDelta && !n.settings.Balancer.PollDiscovery {
 			return // without polling, the balancer is notified of changes only
 		}
-		n.notifyBalancer(n.nodeTime(asOf), kind, endpoints)
+		n.notifyBalancer(evidence, kind, endpoints)
 	})
 }
 
@@ -68,7 +71,6 @@
 // given time.
 func (n *Node) DiscoveryAddressChanged(within time.Duration) {
 	n.post(func() {
-		n.listFreshness.addressChanged = true
 		n.balancer.ExpireListAt(n.now(), n.now()+within.Microseconds())
 	})
 }
--- a/internal/node/listfreshness.go
+++ b/internal/node/listfreshness.go
@@ -2,27 +2,10 @@
 
 // listFreshness tracks whether the endpoint list is current, and what has been logged about it.
 type listFreshness struct {
-	processStartedAt    int64
-	everCurrent         bool // the list has been current at least once since the start
-	stale               bool // the list is not current any more, and this has been logged
-	addressChanged      bool // discovery has a new address: its revisions may be lower and yet newer
-	consecutiveOutdated int  // answers in a row that were older than the latest list
-	staleSince          int64
-}
-
-// maxConsecutiveOutdated is how many answers in a row may be older than the latest list without counting as evidence
-// of what is current. A discovery server that stays behind has been restarted with other revisions or has nothing
-// newer; waiting for it without end would stop the service.
-const maxConsecutiveOutdated = 1
-
-// observeRevision records the revision of an answer and reports whether the answer is no evidence of what is current.
-func (l *listFreshness) observeRevision(revision, newest int64) (stale bool) {
-	if revision >= newest || l.addressChanged {
-		l.consecutiveOutdated = 0
-		return false
-	}
-	l.consecutiveOutdated++
-	return l.consecutiveOutdated <= maxConsecutiveOutdated
+	processStartedAt int64
+	everCurrent      bool // the list has been current at least once since the start
+	stale            bool // the list is not current any more, and this has been logged
+	staleSince       int64
 }
 
 // readyTimeout is how long a process that has just started waits for a confirmed list before it accepts clients
--- a/internal/node/listfreshness_test.go
+++ b/internal/node/listfreshness_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // A process that has just started accepts clients once its list is confirmed, whatever it says, or could not be
@@ -38,28 +40,27 @@
 	}
 }
 
-// An outdated answer is no evidence of what is current, unless discovery has a new address, whose revisions may be
-// lower. A discovery server that stays behind has been restarted with other revisions, and must not end the service.
+// An outdated answer is no evidence of what is current until discovery has confirmed it, and neither is one as of an unknown
+// time. A discovery server that stays behind has been restarted with other revisions, and must not end the service.
 func TestOutdatedListDoesNotRenewLease(t *testing.T) {
 	n, _ := startNode(t, newTestBackend(t, serve).targets(), requireListLease)
-	n.UpdateEndpoints(protocol.List{Revision: 9}, false)
-	runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) })
 	for _, step := range []struct {
-		name string
-		do   func()
-		want bool
+		name  string
+		known bool // as of when it was current
+		order staleness.Order
+		want  bool
 	}{
-		{"behind", func() { n.UpdateEndpoints(protocol.List{Revision: 8}, false) }, false},
-		{"behind again", func() { n.UpdateEndpoints(protocol.List{Revision: 8}, false) }, true},
-		{"run out", func() { runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) }) }, false},
-		{"up to date in between", func() { n.UpdateEndpoints(protocol.List{Revision: 9}, false) }, true},
-		{"run out again", func() { runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) }) }, false},
-		{"behind once more", func() { n.UpdateEndpoints(protocol.List{Revision: 8}, false) }, false},
-		{"the same", func() { n.UpdateEndpoints(protocol.List{Revision: 9}, false) }, true},
-		{"moved", func() { n.DiscoveryAddressChanged(0) }, false},
-		{"lower versions there", func() { n.UpdateEndpoints(protocol.List{Revision: 1}, false) }, true},
+		{"in order", true, staleness.InOrder, true},
+		{"behind", true, staleness.Behind, false},
+		{"behind, and confirmed", true, staleness.BehindConfirmed, true},
+		{"in order, as of an unknown time", false, staleness.InOrder, false},
 	} {
-		step.do()
+		runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) })
+		asOf := time.Time{}
+		if step.known {
+			asOf = time.Now()
+		}
+		n.UpdateEndpointsAsOf(protocol.List{Revision: 8}, asOf, step.order)
 		runOnLoop(n, func() {
 			if current, _ := n.balancer.ListCurrent(n.now()); current != step.want {
 				t.Errorf("%s: current %v", step.name, current)
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // endpoint is an entry of the endpoint list and the state of its connections. An ID is never reused.
@@ -49,15 +53,15 @@
 	}
 }
 
-// applyEndpointList merges a list into the registry and converts it for the balancer. A list that is older than the
-// latest one, such as that of a discovery server which has just taken over, adds endpoints and reports drains, but
-// neither restores an endpoint that is known to have been removed or restarted since nor removes those that it leaves
-// out.
-func (n *Node) applyEndpointList(update protocol.List, kind balancer.ListKind) ([]balancer.Endpoint, balancer.ListKind) {
-	outdated := update.Revision < n.listRevision
-	n.listRevision = max(n.listRevision, update.Revision)
-	if outdated {
-		kind = balancer.ListDelta
+// applyEndpointList merges a list into the registry and converts it for the balancer. Of a list that is behind, such as
+// that of a discovery server which has just taken over, only what it restricts holds: it adds endpoints and reports drains,
+// and what it leaves out gets nothing new, but it restores no endpoint that is known to drain or to have been removed.
+func (n *Node) applyEndpointList(
+	update protocol.List, kind balancer.ListKind, order staleness.Order,
+) ([]balancer.Endpoint, balancer.ListKind) {
+	behind := order != staleness.InOrder
+	if !behind {
+		n.listRevision = update.Revision
 	}
 	changed := make([]balancer.Endpoint, 0, len(update.Targets))
 	listed := make(map[*endpoint]bool, len(update.Targets))
@@ -65,7 +69,7 @@
 		if target.State == protocol.Unknown {
 			target = n.assumeDraining(target.UID)
 		}
-		ep := n.findOrAddEndpoint(target, outdated)
+		ep := n.findOrAddEndpoint(target, behind)
 		if ep == nil {
 			continue
 		}
@@ -73,8 +77,11 @@
 		n.updateEndpoint(ep, target)
 		changed = append(changed, n.balancerEndpoint(ep, target))
 	}
-	if kind == balancer.ListDelta {
+	switch {
+	case kind == balancer.ListDelta:
 		return changed, kind
+	case behind:
+		return append(changed, n.drainUnlisted(update.Targets)...), balancer.ListDelta
 	}
 	for _, ep := range n.endpoints {
 		if !listed[ep] && ep.removedAt == 0 {
@@ -85,6 +92,24 @@
 	return changed, kind
 }
 
+// drainUnlisted has the endpoints that a full list leaves out drain, and returns them for the balancer.
+func (n *Node) drainUnlisted(targets []protocol.Target) (drained []balancer.Endpoint) {
+	listed := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		listed[target.UID] = true
+	}
+	for uid, ep := range n.endpointsByUID {
+		if listed[uid] || ep.state != protocol.InService {
+			continue
+		}
+		target := n.assumeDraining(uid)
+		n.updateEndpoint(ep, target)
+		drained = append(drained, n.balancerEndpoint(ep, target))
+	}
+	slices.SortFunc(drained, func(x, y balancer.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	return drained
+}
+
 // assumeDraining returns what is assumed of a backend whose entry could not be read: that it drains, and else is as before.
 // One that is not known is as one that was removed.
 func (n *Node) assumeDraining(uid string) protocol.Target {
@@ -98,17 +123,17 @@
 }
 
 // findOrAddEndpoint returns the endpoint of an entry, or nil if the entry must be ignored: it reports the removal of an
-// unknown endpoint, or is older than what is known of the endpoint.
-func (n *Node) findOrAddEndpoint(target protocol.Target, outdated bool) *endpoint {
+// unknown endpoint, or is part of a list that is behind and older than what is known of the endpoint.
+func (n *Node) findOrAddEndpoint(target protocol.Target, behind bool) *endpoint {
 	ep := n.endpointsByUID[target.UID]
 	switch {
-	case ep == nil && (target.State == protocol.Terminated || outdated && n.tombstones.has(target.UID, target.BootMs)):
+	case ep == nil && (target.State == protocol.Terminated || behind && n.tombstones.has(target.UID, target.BootMs)):
 		return nil
 	case ep == nil:
 		n.lastEndpointID++
 		ep = &endpoint{id: n.lastEndpointID, address: target.Endpoint, bootMillis: target.BootMs}
 		n.endpoints[ep.id], n.endpointsByUID[target.UID] = ep, ep
-	case outdated && (target.BootMs < ep.bootMillis || target.BootMs == ep.bootMillis && target.State < ep.state):
+	case behind && (target.BootMs < ep.bootMillis || target.BootMs == ep.bootMillis && target.State < ep.state):
 		return nil
 	}
 	return ep
--- a/internal/node/registry_test.go
+++ b/internal/node/registry_test.go
@@ -11,6 +11,7 @@
 
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
+	"tulipglade/internal/staleness"
 )
 
 // Rule 3: from the moment the node is notified, a draining or removed endpoint gets nothing new.
@@ -93,8 +94,8 @@
 	})
 }
 
-// A discovery server that has just taken over may be behind. Its list adds endpoints and reports drains, but neither
-// restores an endpoint that is known to have been removed nor removes one that it does not know yet.
+// A discovery server that has just taken over may be behind. Its list adds endpoints and reports drains, and what it leaves
+// out gets nothing new, but it restores no endpoint that is known to have been removed. One that stays behind is believed.
 func TestOutdatedListDoesNotRestoreEndpoints(t *testing.T) {
 	a := newTestBackend(t, serve)
 	entry := func(uid string, state protocol.State, boot int64) protocol.Target {
@@ -109,36 +110,66 @@
 			entry("removed", 0, 5),
 			entry("draining", protocol.Terminating, 5),
 			entry("starts draining", 0, 5),
-			entry("unknown", 0, 5),
-		}}, balancer.ListFull)
+			entry("unlisted", 0, 5),
+		}}, balancer.ListFull, staleness.InOrder)
 		removal := []protocol.Target{entry("removed", protocol.Terminated, 5)}
-		n.applyEndpointList(protocol.List{Revision: 11, Targets: removal}, balancer.ListDelta)
-		got, kind := n.applyEndpointList(protocol.List{Revision: 9, Full: true, Targets: []protocol.Target{
+		n.applyEndpointList(protocol.List{Revision: 11, Targets: removal}, balancer.ListDelta, staleness.InOrder)
+		outdated := protocol.List{Revision: 9, Full: true, Targets: []protocol.Target{
 			entry("newer", protocol.Terminated, 4),
 			entry("removed", 0, 5),
 			entry("draining", 0, 5),
 			entry("starts draining", protocol.Terminating, 5),
 			entry("new", 0, 6),
-		}}, balancer.ListFull)
-		draining, added := xxhash.Sum64String("starts draining"), xxhash.Sum64String("new")
+		}}
+		got, kind := n.applyEndpointList(outdated, balancer.ListFull, staleness.Behind)
+		key := xxhash.Sum64String
 		want := []balancer.Endpoint{
-			{ID: 4, StableKey: draining, Phase: balancer.PhaseDraining, Weight: 1, StartedAt: 5000},
-			{ID: 6, StableKey: added, Phase: balancer.PhaseReady, Weight: 1, StartedAt: 6000},
+			{ID: 4, StableKey: key("starts draining"), Phase: balancer.PhaseDraining, Weight: 1, StartedAt: 5000},
+			{ID: 6, StableKey: key("new"), Phase: balancer.PhaseReady, Weight: 1, StartedAt: 6000},
+			{ID: 5, StableKey: key("unlisted"), Phase: balancer.PhaseDraining, Weight: 1, StartedAt: 5000},
 		}
-		if diff := cmp.Diff(want, got); diff != "" || kind != balancer.ListDelta {
-			t.Errorf("kind %d\n%s", kind, diff)
+		if diff := cmp.Diff(want, got); diff != "" || kind != balancer.ListDelta || n.listRevision != 11 {
+			t.Errorf("kind %d, revision %d\n%s", kind, n.listRevision, diff)
 		}
 		n.endpointsByUID["removed"].removedAt = n.now() - endpointRetention // long ago
 		if n.deleteExpiredEndpoints(); n.endpointsByUID["removed"] != nil {
 			t.Error("not deleted")
 		}
 		restored := []protocol.Target{entry("removed", 0, 5)}
-		if got, _ = n.applyEndpointList(protocol.List{Revision: 9, Targets: restored}, balancer.ListDelta); len(got) != 0 {
+		got, _ = n.applyEndpointList(protocol.List{Revision: 9, Targets: restored}, balancer.ListDelta, staleness.BehindConfirmed)
+		if len(got) != 0 {
 			t.Errorf("restored after it was deleted: %v", got)
 		}
-		if got, kind = n.applyEndpointList(protocol.List{Revision: 12, Full: true, Targets: restored}, balancer.ListFull); len(got) != 1 ||
-			got[0].Phase != balancer.PhaseReady || kind != balancer.ListFull {
-			t.Errorf("a new list: %v, kind %d", got, kind)
+		if got, kind = n.applyEndpointList(protocol.List{Revision: 9, Full: true, Targets: restored}, balancer.ListFull, staleness.InOrder); len(got) != 1 ||
+			got[0].Phase != balancer.PhaseReady || kind != balancer.ListFull || n.listRevision != 9 {
+			t.Errorf("a list that holds: %v, kind %d, revision %d", got, kind, n.listRevision)
+		}
+		if n.endpointsByUID["unlisted"].removedAt == 0 {
+			t.Error("what it leaves out is not removed")
+		}
+	})
+}
+
+// A backend whose entry cannot be read gets nothing new, and is as it was once a list states it again. One that is not
+// known is not added.
+func TestEndpointOfUnreadableEntryDrains(t *testing.T) {
+	a := newTestBackend(t, serve)
+	n, _ := startNode(t, []protocol.Target{targetOf("a", a), targetOf("b", a)}, nil)
+	runOnLoop(n, func() {
+		list := protocol.List{Revision: 2, Full: true, Targets: []protocol.Target{
+			{UID: "a", State: protocol.Unknown}, targetOf("b", a), {UID: "c", State: protocol.Unknown},
+		}}
+		got, _ := n.applyEndpointList(list, balancer.ListFull, staleness.InOrder)
+		if len(got) != 2 || got[0].Phase != balancer.PhaseDraining || got[1].Phase != balancer.PhaseReady || len(n.endpoints) != 2 {
+			t.Errorf("%v, %d endpoints", got, len(n.endpoints))
+		}
+		ep := n.endpointsByUID["a"]
+		if ep.outOfServiceSince == 0 || ep.address != targetOf("a", a).Endpoint || ep.removedAt > 0 {
+			t.Errorf("out of service since %d, at %s, removed at %d", ep.outOfServiceSince, ep.address, ep.removedAt)
+		}
+		got, _ = n.applyEndpointList(protocol.List{Revision: 3, Targets: []protocol.Target{targetOf("a", a)}}, balancer.ListDelta, staleness.InOrder)
+		if len(got) != 1 || got[0].Phase != balancer.PhaseReady || ep.outOfServiceSince != 0 {
+			t.Errorf("after a list that states it: %v", got)
 		}
 	})
 }
--- /dev/null
+++ b/internal/staleness/revisions_test.go
@@ -0,0 +1,50 @@
+package staleness
+
+import "testing"
+
+// TestOrderOfRevisionsThatGoBack has a discovery that is behind once, one that was restarted with lower revisions, and two
+// that answer in turn.
+func TestOrderOfRevisionsThatGoBack(t *testing.T) {
+	type answer struct {
+		at       Time
+		revision int64
+		full     bool
+		order    Order
+		needsAll bool // the next call fetches the full list
+	}
+	for name, answers := range map[string][]answer{
+		"in order":    {{0, 10, true, InOrder, false}, {1, 10, false, InOrder, false}, {2, 12, false, InOrder, false}},
+		"behind once": {{0, 9, true, Behind, true}, {1, 10, true, InOrder, false}, {2, 9, false, Behind, true}},
+		"restarted": {
+			{0, 3, true, Behind, true},
+			{1, 3, true, BehindConfirmed, false},
+			{2, 4, false, BehindConfirmed, false},
+			{settlingTime, 5, false, BehindConfirmed, true},
+			{settlingTime + 1, 5, true, InOrder, false},
+			{settlingTime + 2, 6, false, InOrder, false},
+			{settlingTime + 3, 5, false, Behind, true},
+		},
+		"settled at the first answer after a while": {{0, 3, true, Behind, true}, {2 * settlingTime, 3, true, InOrder, false}},
+		"changes alone confirm nothing": {
+			{0, 3, false, Behind, true},
+			{1, 3, false, Behind, true},
+			{2, 3, true, BehindConfirmed, false},
+		},
+		"two in turn": {
+			{0, 3, true, Behind, true},
+			{1, 10, true, InOrder, false},
+			{settlingTime, 3, true, Behind, true},
+			{settlingTime + 1, 10, true, InOrder, false},
+		},
+	} {
+		revisions := NewRevisions(10)
+		for i, a := range answers {
+			if order := revisions.Observe(a.at, a.revision, a.full); order != a.order {
+				t.Errorf("%s, answer %d: order %d, want %d", name, i, order, a.order)
+			}
+			if revisions.NeedsFullList(a.at) != a.needsAll {
+				t.Errorf("%s, answer %d: needs the full list: %v", name, i, !a.needsAll)
+			}
+		}
+	}
+}
