Take discovery for down only after calls that failed for a while, 5 s at a start

One call to discovery that was refused, reset or rejected counted as proof that nothing newer could be had, and let the list in use be used for 6 s more.

Discovery counts as down after two failed or unanswered calls in a row, 1 s apart or more. A list that no answer has confirmed, at a start and after a change of address, is used only once calls have failed for 5 s. Where few nodes share a discovery, calls then follow within 0.6 s instead of 3 s.

TestNothingIsSentByListOfUnknownAge, TestListLeaseEndsAndIsRenewed, TestReadyOnceListIsConfirmed and TestRecordRenewsLease said that one failed call is enough; they now want nothing sent after one, and service after an outage. TestPredecessorServesOnAfterFailedHotRestart gets a discovery, as it served by a refused call alone.

--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -68,7 +68,7 @@
 		Overloaded:   b.overloadMode,
 	}
 	if b.listLease.Bounded() {
-		learned.ListLeaseLeft = max(b.listLease.Until()-b.now, 0)
+		learned.ListLeaseLeft = max(b.listLease.Until(b.now)-b.now, 0)
 	}
 	for _, endpoint := range b.endpoints {
 		endpoint.slowStart.count /= 2
--- a/internal/balancer/listlease_test.go
+++ b/internal/balancer/listlease_test.go
@@ -13,24 +13,39 @@
 	return cfg
 }
 
-// TestNothingIsSentByListOfUnknownAge has nodes that know nothing of the list but that it was current once.
-// A request waits for evidence, and is sent as that comes.
+// TestNothingIsSentByListOfUnknownAge has nodes that know nothing of the list but that it was current once. A request waits for
+// evidence, and is sent as that comes: an answer, or calls that have failed for so long that discovery is down.
 func TestNothingIsSentByListOfUnknownAge(t *testing.T) {
-	for name, evidence := range map[string]ListKind{
-		"an answer":                   ListDelta,
-		"a failed call":               ListFailed,
-		"overloaded":                  ListOverloaded,
-		"no answer to the first call": ListTimeout,
+	const outage = 5000 * ms
+	for name, c := range map[string]struct {
+		evidence ListKind
+		after    Span // from the evidence until something is sent; 0: at once
+	}{
+		"an answer":      {ListDelta, 0},
+		"a failed call":  {ListFailed, outage},
+		"overloaded":     {ListOverloaded, outage},
+		"no answer":      {ListTimeout, outage},
+		"invalid answer": {ListInvalid, 2 * NotificationDeadline},
 	} {
-		node := startNode(t, leasedConfig(), testEndpoints(4)...)
+		cfg := leasedConfig()
+		cfg.Classes[0].LatencyObjective, cfg.Classes[0].Deadline = 4*NotificationDeadline, 4*NotificationDeadline
+		node := startNode(t, cfg, testEndpoints(4)...)
 		node.request(1, 0, 0)
 		node.advance(20 * ms)
 		if len(node.attempts[1]) > 0 {
 			t.Errorf("%s: sent without evidence", name)
 		}
-		node.balancer.HandleEndpointsAsOf(node.now, node.now, evidence, nil)
-		if len(node.attempts[1]) != 1 {
-			t.Errorf("%s: %d attempts after it", name, len(node.attempts[1]))
+		node.balancer.HandleEndpointsAsOf(node.now, node.now, c.evidence, nil)
+		if c.after > 0 {
+			node.advance(c.after - 30*ms)
+			if len(node.attempts[1]) > 0 {
+				t.Errorf("%s: sent too soon", name)
+			}
+			node.advance(30 * ms)
+			node.balancer.HandleEndpointsAsOf(node.now, node.now, c.evidence, nil)
+		}
+		if sent := len(node.attempts[1]) == 1; sent != (c.evidence != ListInvalid) {
+			t.Errorf("%s: sent %v after it", name, sent)
 		}
 	}
 }
@@ -59,11 +74,15 @@
 	if current, until := node.balancer.ListCurrent(node.now); current || until != receivedAt+NotificationDeadline {
 		t.Errorf("current %v, until %d", current, until)
 	}
-	if node.balancer.HandleEndpointsAsOf(node.now, node.now, ListFailed, nil); !sent(3) {
-		t.Error("not sent although nothing newer could be fetched")
+	if node.balancer.HandleEndpointsAsOf(node.now, node.now, ListFailed, nil); sent(3) {
+		t.Error("sent after one call that has failed")
+	}
+	node.advance(1000 * ms)
+	if node.balancer.HandleEndpointsAsOf(node.now, node.now, ListFailed, nil); !sent(4) {
+		t.Error("not sent although discovery is down")
 	}
-	node.balancer.ExpireListAt(node.now, node.now+100*ms)
-	if node.advance(100 * ms); sent(4) {
+	node.balancer.HandleDiscoveryMoved(node.now, 100*ms)
+	if node.advance(100 * ms); sent(5) {
 		t.Error("sent by evidence from discovery's old address")
 	}
 }
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -64,6 +64,9 @@
 	switch {
 	case kind == ListTimeout || kind == ListInvalid:
 		return maxTimeoutBackoffFraction * deadline
+	case kind == ListFailed && b.listLease.Bounded() && !b.listLease.Confirmed():
+		// Nothing is sent until discovery answers, or has failed for long: few nodes need not wait for each other.
+		return min(max(maxTimeoutBackoffFraction*deadline, b.pollSpread()), maxBackoffFraction*deadline)
 	case kind == ListOverloaded && !b.listLease.Bounded():
 		// If all nodes called sooner, discovery could not answer them in time.
 		return max(maxBackoffFraction*deadline, b.pollSpread())
@@ -99,7 +102,7 @@
 	case ListDelta, ListFull:
 		b.listLease.Record(staleness.Answered, asOf)
 	case ListFailed, ListOverloaded:
-		b.listLease.Record(staleness.Rejected, asOf)
+		b.listLease.Record(staleness.Failed, asOf)
 	case ListTimeout:
 		b.listLease.Record(staleness.NoAnswer, asOf)
 	case ListInvalid:
@@ -107,14 +110,14 @@
 	}
 }
 
-// ExpireListAt ends the lease on the endpoint list no later than at, as after a change of discovery's
-// address: what the old address said shows nothing of the list at the new one.
-func (b *Balancer) ExpireListAt(now, at Time) {
+// HandleDiscoveryMoved takes a change of discovery's address. What the old address said shows nothing of the list at the
+// new one, and counts for validity at most.
+func (b *Balancer) HandleDiscoveryMoved(now Time, validity Span) {
 	b.now = now
-	b.listLease.Shorten(at)
+	b.listLease.ChangeAddress(now, validity)
 }
 
 // ListCurrent tells whether requests are sent by the endpoint list, and until when the lease on it lasts.
 func (b *Balancer) ListCurrent(now Time) (current bool, until Time) {
-	return b.listLease.Valid(now), b.listLease.Until()
+	return b.listLease.Valid(now), b.listLease.Until(now)
 }
--- a/internal/daemon/hotrestart_test.go
+++ b/internal/daemon/hotrestart_test.go
@@ -116,15 +116,7 @@
 	executions := &executionCounter{byID: map[string]int{}}
 	backend := httptest.NewServer(executions)
 	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.RequestURI, "timeout_ms=0") {
-			<-r.Context().Done()
-			return
-		}
-		respond(w, `{"rev":41,"all":false,"targets":[]}`)
-	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
+	discovery := startIdleDiscovery(t)
 	text := strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"", `"listen":"127.0.0.1:0"`,
 		`"operator":"127.0.0.1:0","listen":"`+freeAddress(t)+`"`, "127.0.0.1:8500", discovery.Listener.Addr().String(),
 		`"effect":"repeatable"`, `"effect":"once"`, "600000", "60000000", "1500000", "60000000").Replace(validConfig)
@@ -160,12 +152,28 @@
 	}
 }
 
+// startIdleDiscovery starts a discovery on which nothing changes.
+func startIdleDiscovery(t *testing.T) *httptest.Server {
+	t.Helper()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.RequestURI, "timeout_ms=0") {
+			<-r.Context().Done()
+			return
+		}
+		respond(w, `{"rev":41,"all":false,"targets":[]}`)
+	}))
+	t.Cleanup(discovery.Close)
+	t.Cleanup(discovery.CloseClientConnections)
+	return discovery
+}
+
 // A successor inherits the listener and the endpoint list with its revision. The predecessor serves on when the successor
 // fails to start.
 func TestPredecessorServesOnAfterFailedHotRestart(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { respond(w, "served") }))
 	defer backend.Close()
 	text := strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"",
+		"127.0.0.1:8500", startIdleDiscovery(t).Listener.Addr().String(),
 		`"listen"`, `"operator":"127.0.0.1:0","listen"`).Replace(validConfig)
 	t.Setenv("TMPDIR", t.TempDir())
 	process, address, admin := startTestProcess(t, text)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -71,6 +71,6 @@
 // given time.
 func (n *Node) DiscoveryAddressChanged(within time.Duration) {
 	n.post(func() {
-		n.balancer.ExpireListAt(n.now(), n.now()+within.Microseconds())
+		n.balancer.HandleDiscoveryMoved(n.now(), within.Microseconds())
 	})
 }
--- a/internal/node/listfreshness_test.go
+++ b/internal/node/listfreshness_test.go
@@ -15,8 +15,7 @@
 func TestReadyOnceListIsConfirmed(t *testing.T) {
 	backend := newTestBackend(t, serve)
 	for name, word := range map[string]func(*Node){
-		"an answer":   func(n *Node) { n.UpdateEndpoints(protocol.List{Revision: 1}, false) },
-		"a rejection": func(n *Node) { n.DiscoveryCallFailed(errors.New("refused"), balancer.ListFailed, n.startedAt) },
+		"an answer": func(n *Node) { n.UpdateEndpoints(protocol.List{Revision: 1}, false) },
 		"no answer": func(n *Node) {
 			runOnLoop(n, func() { n.listFreshness.processStartedAt -= readyTimeout })
 		},
@@ -27,12 +26,17 @@
 			if code, _, _ := conn.exchange(readyRequest); code != 503 {
 				t.Errorf("before: %d", code)
 			}
+			n.DiscoveryCallFailed(errors.New("refused"), balancer.ListFailed, n.startedAt)
+			runOnLoop(n, func() {}) // it has been processed
+			if code, _, _ := conn.exchange(readyRequest); code != 503 {
+				t.Errorf("after one failed call: %d", code)
+			}
 			word(n)
 			runOnLoop(n, func() {}) // it has been processed
 			if code, _, _ := conn.exchange(readyRequest); code != 200 {
 				t.Errorf("after: %d", code)
 			}
-			runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) })
+			runOnLoop(n, func() { n.balancer.HandleDiscoveryMoved(n.now(), 0) })
 			if code, _, _ := conn.exchange(readyRequest); code != 200 {
 				t.Errorf("with a stale list: %d", code)
 			}
@@ -55,7 +59,7 @@
 		{"behind, and confirmed", true, staleness.BehindConfirmed, true},
 		{"in order, as of an unknown time", false, staleness.InOrder, false},
 	} {
-		runOnLoop(n, func() { n.balancer.ExpireListAt(n.now(), n.now()) })
+		runOnLoop(n, func() { n.balancer.HandleDiscoveryMoved(n.now(), 0) })
 		asOf := time.Time{}
 		if step.known {
 			asOf = time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 	HandleHealthCheck(now balancer.Time, id balancer.EndpointID, out balancer.Outcome, took balancer.Span, rep *balancer.LoadReport)
 	MayStartAttempt(now balancer.Time, id balancer.RequestID, attempt int) safety.Reason
 	ListCurrent(now balancer.Time) (current bool, until balancer.Time)
-	ExpireListAt(now, at balancer.Time)
+	HandleDiscoveryMoved(now balancer.Time, validity balancer.Span)
 	HandleCancellation(now balancer.Time, id balancer.RequestID)
 	HandleTimer(now balancer.Time, t balancer.TimerID)
 	Reconfigure(now balancer.Time, cfg balancer.Config, classes, tenants []int) error
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -18,56 +18,94 @@
 // The kinds of evidence.
 const (
 	Answered Evidence = iota // a valid answer: the list was current when it was written
-	Rejected                 // refused or reset: nothing newer could be had at that time
-	NoAnswer                 // timed out: a newer list may have been lost on its way
+	Failed                   // refused, reset or turned away: discovery may be down, or this call alone had no luck
+	NoAnswer                 // timed out: discovery may be down, or a newer list was lost on its way
 	Unusable                 // answered with what can't be used: discovery is there, and may have a newer list
 )
 
-// maxUnanswered is how many consecutive calls may time out before discovery counts as unreachable. The first may be
-// a watch whose connection was lost; the second was made on a new connection.
-const maxUnanswered = 2
+// While discovery is down nothing is notified (STANDING.md), so the list stays in use. One failed call doesn't show that: a
+// change counts as notified 6 s after discovery had it and could be reached, whatever became of a call.
+const (
+	// minOutageCalls is how many calls in a row must have failed until discovery counts as down.
+	minOutageCalls = 2
+	// minOutageSpan is the least time between the first and the last of them.
+	minOutageSpan Span = 1_000_000
+	// minUnconfirmedOutage is for how long no call may have been answered until a list that no answer has confirmed is used:
+	// that of a configuration may be of any age, and after a change of address discovery's changes count 4 s later.
+	minUnconfirmedOutage Span = 5_000_000
+)
 
 // Lease allows requests to be sent by the endpoint list until it expires. The zero value never expires.
 type Lease struct {
-	length     Span
-	until      Time
-	unanswered int // consecutive calls that timed out
+	length Span
+	until  Time
+
+	unconfirmed      bool // discovery has not answered since unconfirmedSince
+	unconfirmedSince Time
+	outageUntil      Time // to when failed calls extend the lease, once an unconfirmed list may be used
+
+	failures     int // consecutive calls that failed or had no answer
+	failingSince Time
 }
 
 // New returns a lease that has expired, since nothing is known of the list's age yet. Evidence that the list was
-// current at some time extends it to length after that time. The first call is made on a new connection, so no
-// watch can have been lost before it: one timeout is enough.
+// current at some time extends it to length after that time.
 func New(now Time, length Span) Lease {
-	return Lease{length: length, until: now, unanswered: maxUnanswered - 1}
+	return Lease{length: length, until: now, unconfirmed: true, unconfirmedSince: now, outageUntil: now}
 }
 
 // Record takes what a call has shown: that as of a time the list was current, or nothing newer could be had. For an
-// answer that is the time of its arrival, and no later than the call was to wait; for a rejection the time of the
-// rejection; for a timeout the time when the call began. An answer that can't be used extends nothing.
+// answer that is the time of its arrival, and no later than the call was to wait; for a failure the time of the failure;
+// for a timeout the time when the call began. An answer that can't be used extends nothing.
 func (l *Lease) Record(evidence Evidence, asOf Time) {
 	switch evidence {
-	case Answered, Rejected:
-		l.unanswered = 0
+	case Answered:
+		l.failures, l.unconfirmed = 0, false
+		l.until = max(l.until, asOf+l.length)
 	case Unusable:
-		l.unanswered = 0
-		return
-	case NoAnswer:
-		l.unanswered++
-		if l.unanswered < maxUnanswered {
-			return
+		l.failures = 0
+	case Failed, NoAnswer:
+		l.recordFailure(evidence, asOf)
+	}
+}
+
+func (l *Lease) recordFailure(evidence Evidence, asOf Time) {
+	if l.failures == 0 {
+		l.failingSince = asOf
+	}
+	l.failures++
+	switch {
+	case l.unconfirmed:
+		// After a timeout another call waits for its answer all the time, but after a failure none may be in flight.
+		if evidence == NoAnswer || asOf-l.unconfirmedSince >= minUnconfirmedOutage {
+			l.outageUntil = max(l.outageUntil, asOf+l.length)
 		}
+	case l.failures >= minOutageCalls && asOf-l.failingSince >= minOutageSpan:
+		l.until = max(l.until, asOf+l.length)
 	}
-	l.until = max(l.until, asOf+l.length)
 }
 
-// Shorten has the lease expire no later than at. Later evidence extends it again.
-func (l *Lease) Shorten(at Time) { l.until = min(l.until, at) }
+// ChangeAddress has what is known count for no longer than validity: what an earlier address of discovery has answered
+// shows nothing of the list at the new one.
+func (l *Lease) ChangeAddress(now Time, validity Span) {
+	l.until = min(l.until, now+validity)
+	l.unconfirmed, l.unconfirmedSince, l.outageUntil = true, now, now
+	l.failures = 0
+}
+
+// Confirmed tells whether discovery has answered since the start, or since its address changed.
+func (l *Lease) Confirmed() bool { return !l.unconfirmed }
 
 // Valid tells whether requests may be sent by the list.
-func (l *Lease) Valid(now Time) bool { return l.length <= 0 || now < l.until }
+func (l *Lease) Valid(now Time) bool { return l.length <= 0 || now < l.Until(now) }
 
-// Until is when the lease expires. It means nothing for a lease that is not Bounded.
-func (l *Lease) Until() Time { return l.until }
+// Until is when the lease expires, as is known now. It means nothing for a lease that is not Bounded.
+func (l *Lease) Until(now Time) Time {
+	if l.unconfirmed && now-l.unconfirmedSince >= minUnconfirmedOutage {
+		return max(l.until, l.outageUntil)
+	}
+	return l.until
+}
 
 // Bounded tells whether the lease can expire at all.
 func (l *Lease) Bounded() bool { return l.length > 0 }
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -4,53 +4,99 @@
 
 const length = 6_000_000
 
-// TestRecordRenewsLease begins with a lease that has expired; each kind of evidence renews it as of its own time, or
-// not at all.
+const second Span = 1_000_000
+
+// note is what a call shows, and as of when.
+type note struct {
+	evidence Evidence
+	asOf     Time
+}
+
+// TestRecordRenewsLease begins with an answer at 0: each kind of evidence renews the lease as of its own time, or not at all.
 func TestRecordRenewsLease(t *testing.T) {
-	type note struct {
-		evidence Evidence
-		asOf     Time
-	}
 	for name, test := range map[string]struct {
 		notes []note
-		until Time // the first moment when it is not valid
+		asOf  Time // of which the lease is renewed
 	}{
-		"nothing known":                       {nil, 100},
-		"answered":                            {[]note{{Answered, 200}}, 200 + length},
-		"an older answer does not shorten it": {[]note{{Answered, 200}, {Answered, 150}}, 200 + length},
-		"rejected":                            {[]note{{Rejected, 300}}, 300 + length},
-		"first call timed out":                {[]note{{NoAnswer, 300}}, 300 + length},
-		"a watch timed out":                   {[]note{{Answered, 200}, {NoAnswer, 300}}, 200 + length},
-		"a watch and the next call timed out": {[]note{{Answered, 200}, {NoAnswer, 300}, {NoAnswer, 400}}, 400 + length},
-		"unusable":                            {[]note{{Answered, 200}, {Unusable, 300}}, 200 + length},
-		"an unusable answer between two timeouts": {
-			[]note{{Answered, 200}, {NoAnswer, 300}, {Unusable, 350}, {NoAnswer, 400}}, 200 + length,
-		},
-		"a rejection between two timeouts": {
-			[]note{{Answered, 200}, {NoAnswer, 300}, {Rejected, 350}, {NoAnswer, 400}}, 350 + length,
-		},
+		"answered":                            {nil, 0},
+		"again":                               {[]note{{Answered, 200}}, 200},
+		"an older answer does not shorten it": {[]note{{Answered, 200}, {Answered, 150}}, 200},
+		"one failure":                         {[]note{{Failed, 2 * second}}, 0},
+		"a watch timed out":                   {[]note{{NoAnswer, 2 * second}}, 0},
+		"two failures at once":                {[]note{{Failed, 2 * second}, {Failed, 3*second - 1}}, 0},
+		"two failures":                        {[]note{{Failed, 2 * second}, {Failed, 3 * second}}, 3 * second},
+		"two timeouts":                        {[]note{{NoAnswer, 2 * second}, {NoAnswer, 3 * second}}, 3 * second},
+		"a timeout and a failure":             {[]note{{NoAnswer, 2 * second}, {Failed, 4 * second}}, 4 * second},
+		"an outage that goes on":              {[]note{{Failed, second}, {Failed, 3 * second}, {Failed, 20 * second}}, 20 * second},
+		"an answer between two failures":      {[]note{{Failed, second}, {Answered, 2 * second}, {Failed, 3 * second}}, 2 * second},
+		"unusable":                            {[]note{{Unusable, 2 * second}, {Unusable, 4 * second}}, 0},
+		"an unusable answer in an outage":     {[]note{{Failed, second}, {Unusable, 2 * second}, {Failed, 3 * second}}, 0},
 	} {
-		l := New(100, length)
+		l := New(-100, length)
+		l.Record(Answered, 0)
 		for _, n := range test.notes {
 			l.Record(n.evidence, n.asOf)
 		}
-		if l.Until() != test.until || l.Valid(test.until) || !l.Valid(test.until-1) {
-			t.Errorf("%s: until %d, want %d", name, l.Until(), test.until)
+		if until := test.asOf + length; l.Until(until) != until || l.Valid(until) || !l.Valid(until-1) {
+			t.Errorf("%s: until %d, want %d", name, l.Until(until), until)
+		}
+	}
+}
+
+// TestUnconfirmedListIsUsedAfterLongOutage has a list that no answer has confirmed, at a start and after a change of address:
+// it is used once discovery has not answered for minUnconfirmedOutage, as a failed call after that or a timeout shows.
+func TestUnconfirmedListIsUsedAfterLongOutage(t *testing.T) {
+	const start, used = 100, 100 + minUnconfirmedOutage
+	starts := map[string]func() Lease{
+		"start": func() Lease { return New(start, length) },
+		"moved": func() Lease {
+			l := New(start-second, length)
+			l.Record(Failed, start-second/2)
+			l.Record(Answered, start-second/4)
+			l.ChangeAddress(start, 0)
+			return l
+		},
+	}
+	for name, test := range map[string]struct {
+		notes []note
+		used  bool
+		until Time
+	}{
+		"no call yet":         {nil, false, 0},
+		"one failure":         {[]note{{Failed, start}}, false, 0},
+		"one timeout":         {[]note{{NoAnswer, start}}, true, start + length},
+		"early failures":      {[]note{{Failed, start}, {Failed, used - 1}}, false, 0},
+		"failures all along":  {[]note{{Failed, start}, {Failed, used}}, true, used + length},
+		"failure, timeout":    {[]note{{Failed, start}, {NoAnswer, 2 * second}}, true, 2*second + length},
+		"unusable":            {[]note{{Unusable, start}, {Unusable, 4 * second}}, false, 0},
+		"answered at the end": {[]note{{Failed, start}, {Answered, 4 * second}}, true, 4*second + length},
+	} {
+		for kind, begin := range starts {
+			l := begin()
+			for _, n := range test.notes {
+				l.Record(n.evidence, n.asOf)
+			}
+			if answered := !l.unconfirmed; !answered && l.Valid(used-1) {
+				t.Errorf("%s, %s: used before", kind, name)
+			}
+			if l.Valid(used) != test.used || test.used && (l.Valid(test.until) || !l.Valid(test.until-1)) {
+				t.Errorf("%s, %s: used %v, until %d, want %d", kind, name, l.Valid(used), l.Until(used), test.until)
+			}
 		}
 	}
 }
 
-// TestShortenEndsLeaseEarlier has the address of discovery change: earlier evidence counts no longer than until then.
-func TestShortenEndsLeaseEarlier(t *testing.T) {
+// TestChangeOfAddressEndsLeaseEarlier has earlier evidence count no longer than the validity. Later evidence extends it again.
+func TestChangeOfAddressEndsLeaseEarlier(t *testing.T) {
 	l := New(100, length)
 	l.Record(Answered, 200)
-	l.Shorten(1000)
+	l.ChangeAddress(300, 700)
 	if l.Valid(1000) || !l.Valid(999) {
 		t.Error("not shortened")
 	}
-	l.Shorten(5000)
+	l.ChangeAddress(300, 5000)
 	if l.Valid(1000) {
-		t.Error("extended by Shorten")
+		t.Error("extended")
 	}
 	if l.Record(Answered, 900); !l.Valid(1000) {
 		t.Error("not renewed by later evidence")
