Pass an empty endpoint list on to the successor of a hot restart

A successor took its predecessor's list only if it had entries, and else that of its configuration, together with the predecessor's lease: after discovery had written that no endpoint is left, the new process sent to the removed ones for as long as the lease ran. The predecessor's list now counts also where it is empty, and, while its lease runs, also where its revision is lower than the configured one's, as after a restart of discovery.

TestSuccessorInheritsListWithoutEndpoints (in process, discovery silent after the list): 5 of 5 requests were served by the removed backend before, 503 and none there now. The daemon's tests pass.

--- a/internal/daemon/hotrestart_test.go
+++ b/internal/daemon/hotrestart_test.go
@@ -152,6 +152,52 @@
 	}
 }
 
+// The list of the predecessor counts also where it is empty, or has a lower revision than the configuration: discovery has
+// answered it, and the lease on it is passed on.
+func TestSuccessorInheritsListWithoutEndpoints(t *testing.T) {
+	for name, lists := range map[string][]string{
+		"empty":                 {`{"rev":50,"all":true,"targets":[]}`},
+		"empty, lower revision": {`{"rev":7,"all":true,"targets":[]}`, `{"rev":7,"all":true,"targets":[]}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if call := int(calls.Add(1)); call <= len(lists) {
+					respond(w, lists[call-1])
+					return
+				}
+				<-r.Context().Done() // nothing more is heard, also not by the successor
+			}))
+			defer discovery.Close()
+			defer discovery.CloseClientConnections()
+			var atRemoved atomic.Int32
+			backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { atRemoved.Add(1) }))
+			defer backend.Close()
+			text := strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"", `"listen"`, `"operator":"127.0.0.1:0","listen"`,
+				"127.0.0.1:8500", discovery.Listener.Addr().String()).Replace(validConfig)
+			t.Setenv("TMPDIR", t.TempDir())
+			process, _, _ := startTestProcess(t, text)
+			for end := time.Now().Add(testTimeout); int(calls.Load()) <= len(lists) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond) // the call after the last list shows that it was taken
+			}
+			successor, address, _ := startTestProcess(t, text)
+			process.cancel()
+			process.log.await(t, "msg=stopped")
+			for i := range 5 {
+				status, err := send(&http.Transport{DisableKeepAlives: true}, http.MethodGet, "http://"+address+"/read", fmt.Sprint("e", i))
+				if err != nil || status != http.StatusServiceUnavailable {
+					t.Error(status, err)
+				}
+			}
+			if n := atRemoved.Load(); n > 0 {
+				t.Errorf("%d requests at the removed backend", n)
+			}
+			successor.stop(t)
+			process.stop(t)
+		})
+	}
+}
+
 // startIdleDiscovery starts a discovery on which nothing changes.
 func startIdleDiscovery(t *testing.T) *httptest.Server {
 	t.Helper()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// inherit receives the state of a predecessor, where there is one. Its endpoint list counts unless the configured one is
-// newer.
+// inherit receives the state of a predecessor, where there is one. Its endpoint list counts, also without endpoints, unless
+// the configured one is newer and the predecessor's was not known to be current.
 func (s *server) inherit() {
 	s.endpoints = s.config.Endpoints
 	s.handoffPath = handoffPath(s.config, s.log)
@@ -117,7 +117,7 @@
 	}
 	s.onClose(func() { _ = s.inherited.Close() }) // the connection has served its purpose
 	list := s.inherited.EndpointList
-	if list.Revision >= s.endpoints.Revision && len(list.Targets) > 0 {
+	if list.Revision >= s.endpoints.Revision || s.inherited.Learned.ListLeaseLeft > 0 {
 		s.endpoints = list
 	}
 }
