Reject early and be ready where discovery says that no endpoint is left

Now that an empty list counts, a node may know that nothing can be sent. Requests were then held until shortly before their latency objective, which may be over half of their time, after which a refusal costs; and a process that started with an empty list said on /ready that it was not, without end, where 30 s fail.

Without an endpoint in service, or with a stale list, an unsent request is rejected after three eighths of its time. A process is ready once discovery has answered with a list, whatever it says. Two log lines tell when the last endpoint goes out of service and when one is back.

TestRequestsWithoutEndpointsAreRejectedEarly failed before in all three cases (no answer after 0.9 s of 2 s), TestReadyOnceListWithoutEndpointsIsConfirmed too. TestUnsentRequestIsRejectedAtHalfItsTimeInOverload had no endpoint at all, where it says overload; it has one that takes nothing now, with the same times, and fails with its guard out.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -31,13 +31,22 @@
 		until = request.deadline
 	}
 	latest := until - max(Span(b.expectedWork(request)), margin)
-	if b.overloadMode && len(request.attempts) == 0 {
+	if len(request.attempts) > 0 {
+		return latest
+	}
+	if b.overloadMode {
 		// Newer requests go first. The sooner a client has its rejection, the more time it has for a retry.
 		latest = min(latest, request.halfTimeAt)
 	}
+	if b.nothingMayBeSent() { // the client must have its rejection within half of its time
+		latest = min(latest, request.halfTimeAt-(request.deadline-request.halfTimeAt)/4)
+	}
 	return latest
 }
 
+// nothingMayBeSent tells whether no endpoint may be sent to, whichever the request.
+func (b *Balancer) nothingMayBeSent() bool { return !b.listLease.Valid(b.now) || len(b.subset) == 0 }
+
 // rejectOrFail is the only way to a final answer that does not come from an endpoint.
 func (b *Balancer) rejectOrFail(request *openRequest) {
 	switch {
--- a/internal/balancer/admission_test.go
+++ b/internal/balancer/admission_test.go
@@ -63,10 +63,14 @@
 
 // TestUnsentRequestIsRejectedAtHalfItsTimeInOverload guards against rejections that come too late: in an
 // overload newer requests are sent first, yet older ones stayed queued until shortly before their
-// objective, so that their clients had no time left for a retry.
+// objective, so that their clients had no time left for a retry. The one endpoint of
+// the subset takes nothing.
 func TestUnsentRequestIsRejectedAtHalfItsTimeInOverload(t *testing.T) {
 	for _, over := range []bool{false, true} {
 		node := startNode(t, testConfig())
+		unavailable := node.balancer.addEndpoint(1)
+		unavailable.Phase = PhaseDraining
+		node.balancer.subset = []*endpointState{unavailable}
 		node.balancer.overloadMode = over
 		node.balancer.HandleRequest(node.now, Request{ID: 1, Class: 0, Deadline: node.now + 220*ms}) // objective 200 ms, mean 50
 		node.advance(105 * ms)
@@ -149,3 +153,41 @@
 	node.advance(3 * ms)
 	wantFinal(t, node, 1, "reject")
 }
+
+// TestRequestsWithoutEndpointsAreRejectedEarly has all endpoints removed, all draining, or a list that is not known to be
+// current: a client has its rejection well within half of its time, and a request that still waits is sent as an endpoint
+// is back.
+func TestRequestsWithoutEndpointsAreRejectedEarly(t *testing.T) {
+	draining := testEndpoints(4)
+	for i := range draining {
+		draining[i].Phase = PhaseDraining
+	}
+	for name, withoutEndpoints := range map[string]func(*fakeNode){
+		"removed":  func(node *fakeNode) { node.balancer.HandleEndpoints(node.now, ListFull, nil) },
+		"draining": func(node *fakeNode) { node.balancer.HandleEndpoints(node.now, ListFull, draining) },
+		"stale":    func(node *fakeNode) { node.balancer.HandleDiscoveryMoved(node.now, 0) },
+	} {
+		cfg := leasedConfig()
+		cfg.Classes[0].LatencyObjective, cfg.Classes[0].Deadline = 1900*ms, 2000*ms
+		node := startNode(t, cfg, testEndpoints(4)...)
+		node.balancer.HandleEndpoints(node.now, ListDelta, nil)
+		withoutEndpoints(node)
+		node.request(1, 0, 0)
+		node.request(2, 0, 0)
+		node.advance(500 * ms)
+		if node.finalAnswers[1] != "" {
+			t.Errorf("%s: %s after a quarter of its time", name, node.finalAnswers[1])
+		}
+		node.balancer.HandleCancellation(node.now, 2)
+		node.advance(400 * ms)
+		if node.finalAnswers[1] != "reject" || len(node.attempts[1]) > 0 {
+			t.Errorf("%s: %q, %d attempts after 0.9 s of 2 s", name, node.finalAnswers[1], len(node.attempts[1]))
+		}
+		node.request(3, 0, 0)
+		node.advance(100 * ms)
+		node.balancer.HandleEndpoints(node.now, ListFull, testEndpoints(4))
+		if len(node.attempts[3]) != 1 {
+			t.Errorf("%s: not sent as endpoints are back", name)
+		}
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -39,6 +39,7 @@
 			n.log.Info("endpoint list updated", "rev", update.Revision, "all", update.Full, "cached", cached, "entries", len(endpoints))
 		}
 		n.endpointsKnown = n.endpointsKnown || len(endpoints) > 0
+		n.logEndpointsInService()
 		if len(endpoints) == 0 && kind == balancer.ListDelta && !n.settings.Balancer.PollDiscovery {
 			return // without polling, the balancer is notified of changes only
 		}
--- a/internal/node/listfreshness.go
+++ b/internal/node/listfreshness.go
@@ -1,10 +1,13 @@
 package node
 
+import "tulipglade/internal/protocol"
+
 // listFreshness tracks whether the endpoint list is current, and what has been logged about it.
 type listFreshness struct {
 	processStartedAt int64
-	everCurrent      bool // the list has been current at least once since the start
-	stale            bool // the list is not current any more, and this has been logged
+	everCurrent      bool  // the list has been current at least once since the start
+	stale            bool  // the list is not current any more, and this has been logged
+	emptySince       int64 // since when no endpoint has been in service, as has been logged; 0: one is
 	staleSince       int64
 }
 
@@ -27,12 +30,33 @@
 	n.listFreshness.everCurrent = n.listFreshness.everCurrent || current
 }
 
-// ready reports whether clients may be sent here: an endpoint is known, and the list was found current or could not
-// be confirmed in time.
+// logEndpointsInService logs when the endpoint list stops or starts having endpoints in service.
+func (n *Node) logEndpointsInService() {
+	inService := false
+	for _, ep := range n.endpoints {
+		if inService = ep.state == protocol.InService; inService {
+			break
+		}
+	}
+	switch {
+	case inService && n.listFreshness.emptySince > 0:
+		n.log.Info("endpoint in service again", "rev", n.listRevision, "without_us", n.now()-n.listFreshness.emptySince)
+		n.listFreshness.emptySince = 0
+	case !inService && n.listFreshness.emptySince == 0:
+		n.log.Warn("no endpoint in service", "rev", n.listRevision, "open", n.openRequests)
+		n.listFreshness.emptySince = n.now()
+	}
+}
+
+// ready reports whether clients may be sent here: the list was found current, whatever it says, or an endpoint is known and
+// the list could not be confirmed in time.
 func (n *Node) ready() bool {
-	if n.drain.active || !n.endpointsKnown {
+	if n.drain.active {
 		return false
 	}
 	current, _ := n.balancer.ListCurrent(n.now())
-	return current || n.listFreshness.everCurrent || n.now()-n.listFreshness.processStartedAt >= readyTimeout
+	if n.settings.Balancer.ListLease > 0 && (current || n.listFreshness.everCurrent) {
+		return true
+	}
+	return n.endpointsKnown && (current || n.now()-n.listFreshness.processStartedAt >= readyTimeout)
 }
--- a/internal/node/listfreshness_test.go
+++ b/internal/node/listfreshness_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// A process to which discovery has answered that there are no endpoints is ready: it answers clients, with rejections.
+func TestReadyOnceListWithoutEndpointsIsConfirmed(t *testing.T) {
+	n, addr := startNode(t, nil, requireListLease)
+	conn := dialNode(t, addr)
+	runOnLoop(n, func() { n.listFreshness.processStartedAt -= readyTimeout })
+	if code, _, _ := conn.exchange(readyRequest); code != 503 {
+		t.Errorf("nothing known: %d", code)
+	}
+	n.UpdateEndpoints(protocol.List{Revision: 1, Full: true}, false)
+	runOnLoop(n, func() {})
+	if code, _, _ := conn.exchange(readyRequest); code != 200 {
+		t.Errorf("known to have none: %d", code)
+	}
+}
+
 // An outdated answer is no evidence of what is current until discovery has confirmed it, and neither is one as of an unknown
 // time. A discovery server that stays behind has been restarted with other revisions, and must not end the service.
 func TestOutdatedListDoesNotRenewLease(t *testing.T) {
