--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -119,6 +119,7 @@
 
 	mutex     sync.Mutex
 	changed   chan struct{} // closed at the removal
+	returned  chan struct{} // closed when all backends are in service again
 	answered  int           // answers since the removal
 	writtenAt time.Time     // when the last of the form's answers was first written
 }
@@ -194,8 +195,11 @@
 	done := d.answered >= len(d.form.answers)
 	d.mutex.Unlock()
 	if done && waits > 0 && !d.form.every { // a watch, and nothing has changed since
-		hold(r, waits, nil)
-		_, _ = io.WriteString(w, changes(since))
+		list := changes(since)
+		if hold(r, waits, d.returned) {
+			list = d.backends.Replace(fullList(since+1, all(inService)...))
+		}
+		_, _ = io.WriteString(w, list)
 		return
 	}
 	body, last := d.next()
@@ -235,7 +239,7 @@
 func newFormsPlay(t *testing.T, form listForm) *formsPlay {
 	t.Helper()
 	play := &formsPlay{arrivals: map[string]*atomic.Int32{}, late: map[string]*atomic.Int32{}}
-	play.discovery = &formsDiscovery{form: form, changed: make(chan struct{})}
+	play.discovery = &formsDiscovery{form: form, changed: make(chan struct{}), returned: make(chan struct{})}
 	endpoints, replacements := map[string]string{}, []string{}
 	for _, uid := range []string{"a", "b", "c"} {
 		play.arrivals[uid], play.late[uid] = &atomic.Int32{}, &atomic.Int32{}
@@ -337,3 +341,49 @@
 		t.Log(play.process.output)
 	}
 }
+
+// With no backend left the process stays ready, rejects within half of a request's time, and serves again at once as backends
+// are back.
+func TestProcessWithoutBackendsRejectsEarlyAndServesAgain(t *testing.T) {
+	for _, form := range []listForm{
+		{name: "empty", answers: []string{fullList(6)}},
+		{name: "all-terminated-as-changes", answers: []string{changes(6, all(terminated)...)}},
+		{name: "all-terminating", answers: []string{fullList(6, all(terminating)...)}},
+	} {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			play := newFormsPlay(t, form)
+			client := steadyClient{address: play.address, process: 0}
+			statuses := func(want int, timeout time.Duration) (took time.Duration) {
+				t.Helper()
+				began := time.Now()
+				for number := began.UnixNano(); ; number++ {
+					status, err := client.send(http.DefaultClient, int(number))
+					if err != nil {
+						t.Fatal(err)
+					}
+					if took = time.Since(began); status == want || took > timeout {
+						return took
+					}
+				}
+			}
+			if took := statuses(http.StatusOK, startupTimeout); took > startupTimeout {
+				t.Fatal("it does not serve")
+			}
+			play.discovery.remove()
+			statuses(http.StatusServiceUnavailable, startupTimeout)
+			for range 5 {
+				if took := statuses(http.StatusServiceUnavailable, 0); took > 750*time.Millisecond {
+					t.Errorf("rejected after %v of 1.5 s", took)
+				}
+			}
+			if !awaitReady(play.address, time.Second) {
+				t.Error("it is not ready")
+			}
+			close(play.discovery.returned)
+			if took := statuses(http.StatusOK, startupTimeout); took > returnLimit {
+				t.Errorf("served %v after backends were back", took)
+			}
+		})
+	}
+}
