Take up what the earlier address of discovery was writing as SIGHUP came

At a change of discovery's address the call in flight was given up and its connection closed, so a list that the old address was writing was dropped.

The call is now waited for in the background for 1.5 s, after which the old address has closed its connections. Of its answer only what it restricts holds, it proves nothing of the new address, and the watch's next call fetches the full list there.

--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -33,6 +33,7 @@
 	every   bool          // each call is answered, also one that has the last answer's revision
 	pieces  bool          // the answer comes chunked, in three pieces within 0.3 s
 	moved   bool          // discovery moves to another address at that moment, by SIGHUP
+	transit bool          // the answers are those of the earlier address, and have begun as discovery moves; the next one is silent
 	removed string        // the backends that count as removed or draining from here on
 	after   time.Duration // when they do, where the answers do not say so: counted from the first
 }
@@ -92,6 +93,8 @@
 	{name: "moved-lower-revision-without-one", answers: []string{fullList(3, entry(inService, "a"), entry(inService, "c"))}, every: true, moved: true, removed: "b"},
 	{name: "moved-empty", answers: []string{fullList(6)}, moved: true, removed: "abc"},
 	{name: "moved-lower-revision-empty", answers: []string{fullList(1)}, moved: true, removed: "abc"},
+	{name: "moved-in-transit", answers: []string{changes(6, entry(terminated, "b"))}, pieces: true, moved: true, transit: true, removed: "b"},
+	{name: "moved-in-transit-empty", answers: []string{fullList(6)}, pieces: true, moved: true, transit: true, removed: "abc"},
 	{name: "unknown-state-beside-a-missing-one", answers: []string{fullList(6, entry(inService, "a"), entry(oddState, "c"))}, removed: "bc"},
 	{name: "invalid-endpoint-beside-a-missing-one", answers: []string{fullList(6, entry(inService, "a"), entry(oddEndpoint, "c"))}, removed: "bc"},
 	{name: "no-state-beside-a-missing-one", answers: []string{fullList(6, entry(inService, "a"), entry(noState, "c"))}, removed: "bc"},
@@ -139,6 +142,13 @@
 	return d.backends.Replace(d.form.answers[position]), position == len(d.form.answers)-1
 }
 
+// answering reports whether an answer of the form has begun.
+func (d *formsDiscovery) answering() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.answered > 0
+}
+
 func (d *formsDiscovery) noteWritten() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -171,7 +181,11 @@
 				return
 			}
 		}
-		if !removes {
+		switch {
+		case d.form.transit && removes:
+			<-r.Context().Done()
+			return
+		case !d.form.transit && !removes:
 			resetConnection(w)
 			return
 		}
@@ -285,6 +299,9 @@
 	if !p.discovery.form.moved {
 		return
 	}
+	for end := time.Now().Add(startupTimeout); p.discovery.form.transit && !p.discovery.answering() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	config, err := os.ReadFile(p.process.configPath)
 	if err != nil {
 		t.Fatal(err)
@@ -333,7 +350,7 @@
 	for uid, late := range play.late {
 		if n := late.Load(); strings.Contains(form.removed, uid) && n > 0 {
 			t.Errorf("%s: %d requests over %v after its removal was written, of %d in all", uid, n, removalGrace, play.arrivals[uid].Load())
-		} else if !strings.Contains(form.removed, uid) && n == 0 {
+		} else if !strings.Contains(form.removed, uid) && n == 0 && !form.transit {
 			t.Errorf("%s is in service and gets nothing", uid)
 		}
 	}
--- a/internal/daemon/discoveryconn.go
+++ b/internal/daemon/discoveryconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,6 +20,9 @@
 	received       chan []byte   // bytes as they arrive
 	disconnected   chan struct{} // closed when the connection has ended and all bytes that arrived have been taken
 	closed         chan struct{} // closed by close
+
+	response protocol.Message // of the call in flight
+	buffer   []byte           // what has arrived of it
 }
 
 func newDiscoveryConn(address string, addressChanged <-chan struct{}) *discoveryConn {
@@ -40,11 +44,14 @@
 	invalid []error
 }
 
-// roundTrip makes one call and reads its answer within the timeout. After an error the connection is closed.
+// roundTrip makes one call and reads its answer within the timeout. After an error the connection is closed, but for
+// errAddressChanged: the answer may be on its way, and finishCall waits for it.
 func (c *discoveryConn) roundTrip(request []byte, timeout time.Duration) (answer, error) {
 	received, err := c.call(request, timeout)
 	if err != nil {
-		c.close()
+		if !errors.Is(err, errAddressChanged) {
+			c.close()
+		}
 		return answer{}, fmt.Errorf("discovery at %s: %w", c.address, err)
 	}
 	return received, nil
@@ -59,7 +66,24 @@
 	if err := c.send(request, timeout); err != nil {
 		return answer{}, err
 	}
-	body, keepAlive, err := c.readResponse(deadline.C)
+	c.response, c.buffer = protocol.Message{MaxBody: maxListBytes}, nil
+	return c.readAnswer(deadline.C)
+}
+
+// finishCall waits for the answer to the call that a change of address has ended, and closes the connection.
+func (c *discoveryConn) finishCall(timeout time.Duration) (answer, error) {
+	defer c.close()
+	if c.conn == nil {
+		return answer{}, errAddressChanged // the call has not begun
+	}
+	deadline := time.NewTimer(timeout)
+	defer deadline.Stop()
+	c.addressChanged = nil
+	return c.readAnswer(deadline.C)
+}
+
+func (c *discoveryConn) readAnswer(deadline <-chan time.Time) (answer, error) {
+	body, keepAlive, err := c.readResponse(deadline)
 	if err != nil {
 		return answer{}, err
 	}
@@ -152,8 +176,6 @@
 
 // readResponse reads a complete response of status 200.
 func (c *discoveryConn) readResponse(deadline <-chan time.Time) (body []byte, keepAlive bool, err error) {
-	message := protocol.Message{MaxBody: maxListBytes}
-	var buffer []byte
 	for {
 		select {
 		case <-c.addressChanged:
@@ -163,15 +185,15 @@
 		case <-c.disconnected:
 			return nil, false, errConnectionEnded
 		case bytes := <-c.received:
-			buffer = append(buffer, bytes...)
+			c.buffer = append(c.buffer, bytes...)
 		}
-		n, complete, err := message.Response(buffer)
+		n, complete, err := c.response.Response(c.buffer)
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", errInvalidList, err)
 		}
-		buffer = buffer[:n]
+		c.buffer = c.buffer[:n]
 		if complete {
-			return message.Body(buffer), message.KeepAlive, checkStatus(message.Status)
+			return c.response.Body(c.buffer), c.response.KeepAlive, checkStatus(c.response.Status)
 		}
 	}
 }
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -36,6 +36,8 @@
 		result.err = w.classify(result)
 		w.calls.record(result, next.revision)
 		if errors.Is(result.err, errAddressChanged) {
+			go w.finishCall(connection)
+			connection = &discoveryConn{}
 			continue
 		}
 		w.countTimeouts(result)
@@ -58,6 +60,19 @@
 	}
 }
 
+// finishCall waits for the answer to a call that a change of address has ended: what the earlier address writes counts as
+// notified. It proves nothing of the list at the new one, and of it only what it restricts holds.
+func (w *watch) finishCall(connection *discoveryConn) {
+	received, err := connection.finishCall(earlierAddressTimeout)
+	if err != nil {
+		return
+	}
+	w.mutex.Lock()
+	w.needsFullList = true // it says what the new address knows of endpoints that this list restricts
+	w.mutex.Unlock()
+	w.listener.UpdateEndpointsAsOf(received.list, time.Time{}, staleness.Behind)
+}
+
 // plannedCall is the next call of a watch.
 type plannedCall struct {
 	connection  *discoveryConn
@@ -166,14 +181,15 @@
 }
 
 // acceptRevision takes over the list's revision, and returns the time at which the list was current and how it relates to
-// the answers before. An answer from an earlier address is still merged, but its revision does not count at the new one,
-// and it proves no time.
+// the answers before. Of an answer from an earlier address only what it restricts holds: its revision does not count at the
+// new one, and it proves no time.
 func (w *watch) acceptRevision(result callResult) (asOf time.Time, order staleness.Order) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	list := result.list
 	if result.address != w.address {
-		return time.Time{}, w.revisions.Compare(list.Revision)
+		w.needsFullList = true
+		return time.Time{}, staleness.Behind
 	}
 	now := time.Since(w.startedAt).Microseconds()
 	order = w.revisions.Observe(now, list.Revision, list.Full)
--- a/internal/daemon/watch_timing.go
+++ b/internal/daemon/watch_timing.go
@@ -28,6 +28,9 @@
 	maxTimeoutDoublings = 2
 	// listValidityAfterAddressChange is for how long the list from the old address still counts (protocol, new configurations).
 	listValidityAfterAddressChange = 4 * time.Second
+	// earlierAddressTimeout is how long after a change of address the answer to a call in flight there is waited for: by then
+	// discovery has closed its connections (protocol, new configurations).
+	earlierAddressTimeout = 1500 * time.Millisecond
 	// answerLatencyTolerance is by how much an answer may exceed the wait of its call and still count as written on
 	// arrival. A later one was held up in the network, or this process was.
 	answerLatencyTolerance = 200 * time.Millisecond
--- a/internal/staleness/revisions.go
+++ b/internal/staleness/revisions.go
@@ -6,7 +6,7 @@
 // The orders.
 const (
 	InOrder         Order = iota // it holds as a whole
-	Behind                       // its revision is lower than an earlier one: only what it restricts holds, and it proves nothing
+	Behind                       // older than an earlier one, or of another address: only what it restricts holds, and it proves nothing
 	BehindConfirmed              // the same, but discovery has repeated it in a full list: it has nothing newer
 )
 
@@ -29,7 +29,7 @@
 
 // Observe takes the revision of the next answer and returns its order.
 func (r *Revisions) Observe(now Time, revision int64, full bool) Order {
-	if r.Compare(revision) == InOrder {
+	if revision >= r.newest {
 		*r = Revisions{newest: revision}
 		return InOrder
 	}
@@ -48,14 +48,6 @@
 	return BehindConfirmed
 }
 
-// Compare returns the order of an answer that is not the next one, such as one from an earlier address.
-func (r *Revisions) Compare(revision int64) Order {
-	if revision < r.newest {
-		return Behind
-	}
-	return InOrder
-}
-
 // NeedsFullList tells whether the next call must fetch the full list: to confirm a revision that went back, and to replace
 // what was known before once that has settled.
 func (r *Revisions) NeedsFullList(now Time) bool {
