Play lists of all forms, and the loss of many backends at once, in the fault soak

TestSoakWithVariedLists plays the same seeds and, beside their faults, answers to a watch as full lists, with or without the backends that drain, null, indented, in pieces, with an entry that cannot be read or a second one for a backend that drains, resets between two good answers, revisions that start over at each move of discovery, and up to all backends removed or draining in one revision and back 0.5 to 4.5 s later. The draws of TestSoak are unchanged.

--- a/cmd/tulipglade/soak_test.go
+++ b/cmd/tulipglade/soak_test.go
@@ -17,26 +17,33 @@
 const maxBrokenLines = 20
 
 // Overlapping faults, drawn from a seed, against ten processes of the program: no invariant is broken.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { playSoakSeeds(t, false) }
+
+// The same with lists of all forms, revisions that start over, and many backends that leave the list at once.
+func TestSoakWithVariedLists(t *testing.T) { playSoakSeeds(t, true) }
+
+func playSoakSeeds(t *testing.T, varyLists bool) {
+	t.Helper()
 	first := environmentNumber("SOAK_FIRST", 1)
 	seeds := environmentNumber("SOAK_SEEDS", soakSeeds)
 	nodes := environmentNumber("SOAK_NODES", 10)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
-			soakSeed(t, uint64(seed), nodes)
+			soakSeed(t, uint64(seed), nodes, varyLists)
 		})
 	}
 }
 
-func soakSeed(t *testing.T, seed uint64, nodes int) {
+func soakSeed(t *testing.T, seed uint64, nodes int, varyLists bool) {
 	t.Helper()
 	result, err := soak.Play(context.Background(), soak.Options{
-		Seed:     seed,
-		Nodes:    nodes,
-		Backends: 6,
-		Length:   16 * time.Second,
-		Dir:      t.TempDir(),
+		Seed:      seed,
+		Nodes:     nodes,
+		Backends:  6,
+		Length:    16 * time.Second,
+		VaryLists: varyLists,
+		Dir:       t.TempDir(),
 		Command: func(configPath string) *exec.Cmd {
 			return programCommand(configPath, envMaxDescriptors+"=256",
 				"GORACE=atexit_sleep_ms=0") // a process under the race detector would stay for a second after its end
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -1,11 +1,10 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -32,6 +31,8 @@
 	run     *run
 	node    int
 	address string
+	shift   int // its revisions are higher by so much than those of the run's list
+	forms   answerForms
 
 	mu        sync.Mutex
 	server    *http.Server // nil: it does not listen
@@ -40,7 +41,7 @@
 	reset     chan struct{} // closed when all open calls are reset, and replaced
 }
 
-func newDiscovery(r *run, node int) (*discovery, error) {
+func newDiscovery(r *run, node, number int) (*discovery, error) {
 	listener, err := r.listen(node)
 	if err != nil {
 		return nil, fmt.Errorf("discovery of node %d: %w", node, err)
@@ -52,6 +53,10 @@
 		silenced: make(chan struct{}),
 		reset:    make(chan struct{}),
 	}
+	if r.options.VaryLists {
+		d.shift = (1 - number) * revisionShift
+		d.forms.random = rand.New(rand.NewPCG(r.options.Seed, uint64(listFormStream+2*node+number)))
+	}
 	d.serve(listener)
 	return d, nil
 }
@@ -128,7 +133,11 @@
 	}
 	query := r.URL.Query()
 	watch := query.Has("since")
-	revision, _ := strconv.Atoi(query.Get("since"))       // 0 where it is missing: all changes
+	revision, _ := strconv.Atoi(query.Get("since")) // 0 where it is missing: all changes
+	revision -= d.shift
+	if newest := d.run.list.newest(); !watch || revision > newest {
+		revision = 0 // a revision of another address says nothing here
+	}
 	timeoutMs, _ := strconv.Atoi(query.Get("timeout_ms")) // 0 where it is missing: the answer comes at once
 	timeout := time.After(time.Duration(timeoutMs) * time.Millisecond)
 	for {
@@ -161,17 +170,21 @@
 		d.run.nodes[d.node].log.note(fmt.Sprintf("call ended by the node before its answer with revision %d", revision))
 		return
 	}
-	if full { // a full list has no lines of endpoints that were removed
-		lines = slices.DeleteFunc(lines, func(line listChange) bool { return line.state == stateRemoved })
-	}
-	targets := d.run.nodes[d.node].targets(lines)
-	body, _ := json.Marshal(listAnswer{Revision: revision, Full: full, Targets: targets}) // it has nothing that cannot be encoded
-	started := d.run.now()
-	if _, err := w.Write(body); err != nil {
+	form := d.forms.next()
+	if form.reset {
+		resetConnection(w)
 		return
 	}
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
+	if form.fullList && !full {
+		full = true
+		lines, revision, _ = d.run.list.since(0)
+	}
+	if full {
+		lines = form.lines(lines)
+	}
+	answer := listAnswer{Revision: revision + d.shift, Full: full, Targets: d.run.nodes[d.node].targets(lines)}
+	started := d.run.now()
+	if form.write(w, form.body(answer)) == nil {
+		d.run.list.noteNotification(d.node, notification{started, d.run.now(), revision})
 	}
-	d.run.list.noteNotification(d.node, notification{started, d.run.now(), revision})
 }
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -80,6 +80,53 @@
 	l.add(change)
 }
 
+// newest returns the newest revision.
+func (l *endpointList) newest() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changes[len(l.changes)-1].revision
+}
+
+// setAll changes the state of those backends that are in service, in one revision, which it returns.
+func (l *endpointList) setAll(backends []int, state endpointState) (revision int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []listChange
+	for _, backend := range backends {
+		if change := l.last(backend); change.state == stateInService {
+			change.state = state
+			changed = append(changed, change)
+		}
+	}
+	return l.addAll(changed)
+}
+
+// restore puts those backends that a revision has changed last back into service, in one revision.
+func (l *endpointList) restore(backends []int, revision int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []listChange
+	for _, backend := range backends {
+		if change := l.last(backend); change.revision == revision {
+			change.state = stateInService
+			changed = append(changed, change)
+		}
+	}
+	l.addAll(changed)
+}
+
+// addAll gives changes the next revision and the present time. The caller holds the mutex.
+func (l *endpointList) addAll(changes []listChange) (revision int) {
+	revision = l.changes[len(l.changes)-1].revision + 1
+	for _, change := range changes {
+		change.revision, change.at = revision, l.run.now()
+		l.changes = append(l.changes, change)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return revision
+}
+
 // add gives a change the next revision and the present time. The caller holds the mutex.
 func (l *endpointList) add(change listChange) {
 	change.revision = l.changes[len(l.changes)-1].revision + 1
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,8 @@
 	BackendRefuses      Kind = "backend refuses" // 503, marked as never run
 	BackendSendsGarbage Kind = "backend garbles" // answers are not HTTP
 	SitePowerLost       Kind = "power of a site" // a third of the nodes and of the backends die together, and come back together
+	BackendsRemoved     Kind = "backends gone"   // many or all are off the list at once, answer all along, and come back together
+	BackendsDrain       Kind = "backends drain"  // the same, as draining
 )
 
 // randomKinds are the kinds that schedules draw from. The order matters: a seed draws by index.
@@ -76,6 +78,15 @@
 	powerLossSeedsStep = 4 // every seed that this divides has a power loss
 	powerLossDelay     = time.Second
 	powerLossDuration  = 5 * time.Second
+
+	shortestListLoss = 500 * time.Millisecond
+	listLossSpread   = 4 * time.Second
+	longestListPause = 4 * time.Second // from one loss to the next
+	listFaultStream  = 1               // of the seed's random numbers, so that these faults leave the others as they are
+	listFormStream   = 1000            // and further ones for each discovery
+	allBackendsOneIn = 2
+	listDrainsOneIn  = 3
+	quietEndOfLosses = quietEnd + 2*time.Second
 )
 
 // draw returns the schedule of a seed. Faults overlap, and some schedules have the power loss of a site on top of them.
@@ -93,6 +104,30 @@
 			Targets:  []int{random.IntN(sites)},
 		})
 	}
+	if options.VaryLists {
+		plan = append(plan, drawListFaults(options)...)
+	}
+	return plan
+}
+
+// drawListFaults draws losses of many backends at once, one after the other.
+func drawListFaults(options Options) (plan []Fault) {
+	random := rand.New(rand.NewPCG(options.Seed, listFaultStream))
+	for at := firstFault; at < options.Length-quietEndOfLosses; {
+		fault := Fault{Kind: BackendsRemoved, Start: at}
+		if random.IntN(listDrainsOneIn) == 0 {
+			fault.Kind = BackendsDrain
+		}
+		count := options.Backends
+		if random.IntN(allBackendsOneIn) > 0 {
+			count = 1 + random.IntN(options.Backends)
+		}
+		fault.Targets = random.Perm(options.Backends)[:count]
+		slices.Sort(fault.Targets)
+		fault.Duration = shortestListLoss + time.Duration(random.Int64N(int64(listLossSpread)))
+		plan = append(plan, fault)
+		at += fault.Duration + time.Duration(random.Int64N(int64(longestListPause)))
+	}
 	return plan
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -54,7 +54,7 @@
 		n.log.allowed = crowdTexts
 	}
 	for i := range n.discovery {
-		d, err := newDiscovery(r, index)
+		d, err := newDiscovery(r, index, i)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/soak/nodeconfig.go
+++ b/internal/soak/nodeconfig.go
@@ -83,7 +83,7 @@
 		Listen:    n.listen,
 		Discovery: n.discovery[n.activeDiscovery].address,
 		Limits:    nodeLimits{Cores: 1, MemoryMB: 192, Sockets: nodeDescriptors},
-		Known:     listAnswer{Revision: revision, Full: true, Targets: n.targets(lines)},
+		Known:     listAnswer{Revision: revision + n.discovery[n.activeDiscovery].shift, Full: true, Targets: n.targets(lines)},
 		Settings: nodeSettings{
 			Discovery: "ask",
 			Self:      n.index,
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -38,6 +38,8 @@
 		}
 	case SitePowerLost:
 		r.losePower(fault)
+	case BackendsRemoved, BackendsDrain:
+		r.loseBackends(fault)
 	default:
 		for _, i := range fault.Targets {
 			r.schedules.Go(func() { r.playBackend(fault, r.backends[i]) })
@@ -128,6 +130,17 @@
 	b.setCondition(backendHealthy)
 }
 
+// loseBackends has many backends leave the list in one revision, and come back in another. They answer all along.
+func (r *run) loseBackends(fault Fault) {
+	state := stateRemoved
+	if fault.Kind == BackendsDrain {
+		state = stateDraining
+	}
+	revision := r.list.setAll(fault.Targets, state)
+	r.sleep(fault.Duration)
+	r.list.restore(fault.Targets, revision)
+}
+
 // losePower has all nodes and backends of a site die in one moment. The backends' removal is listed while the nodes are down, and they are
 // back before the list says so.
 func (r *run) losePower(fault Fault) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,8 +20,10 @@
 	Nodes    int
 	Backends int
 	Length   time.Duration
-	Dir      string                               // for the nodes' configurations
-	Command  func(configuration string) *exec.Cmd // returns a command that runs a node in the foreground
+	// VaryLists has discovery answer in all forms, with revisions that start over at each move, and lists lose many backends at once.
+	VaryLists bool
+	Dir       string                               // for the nodes' configurations
+	Command   func(configuration string) *exec.Cmd // returns a command that runs a node in the foreground
 }
 
 // The deployment of every run. Times are those of the settings that the nodes get.
