Use answers of discovery without a length; count an outage from the first move

An answer of discovery that gives no length and ends with its connection was complete, and was still reported as a connection that closed too early: what it said was not used, and after two of them discovery counted as down, so the old list stayed in use. It is parsed now as its connection ends, and refused if it is not whole.

A change of address while nobody had answered began the 5 s anew after which discovery counts as down, so that one move after the other in an outage could keep a node from serving; they count from the first now.

Two new cases of TestRemovedBackendsGetNothingWhateverFormTheListHas: some 3,400 requests at each removed backend over 0.7 s after the write before, none now. TestChangesOfAddressInAnOutageDoNotProlongIt fails with its guard out, by reading; it was not run so.

--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -32,6 +32,7 @@
 	answers []string      // one after the other, and the last again; empty: the connection is reset
 	every   bool          // each call is answered, also one that has the last answer's revision
 	pieces  bool          // the answer comes chunked, in three pieces within 0.3 s
+	unsized bool          // the answer has no length, and ends with its connection
 	moved   bool          // discovery moves to another address at that moment, by SIGHUP
 	transit bool          // the answers are those of the earlier address, and have begun as discovery moves; the next one is silent
 	removed string        // the backends that count as removed or draining from here on
@@ -77,6 +78,8 @@
 	{name: "empty-at-each-call", answers: []string{fullList(6)}, every: true, removed: "abc"},
 	{name: "empty-in-pieces", answers: []string{fullList(6)}, pieces: true, removed: "abc"},
 	{name: "empty-revision-as-before", answers: []string{fullList(confirmedRevision)}, removed: "abc"},
+	{name: "empty-without-length", answers: []string{fullList(6)}, unsized: true, every: true, removed: "abc"},
+	{name: "one-terminated-without-length", answers: []string{changes(6, entry(terminated, "b"))}, unsized: true, every: true, removed: "b"},
 	{name: "empty-after-a-reset", answers: []string{"", fullList(6)}, removed: "abc"},
 	{name: "null", answers: []string{`{"rev":6,"all":true,"targets":null}`}, removed: "abc"},
 	{name: "no-targets", answers: []string{`{"rev":6,"all":true}`}, removed: "abc"},
@@ -221,6 +224,16 @@
 		resetConnection(w)
 		return
 	}
+	if d.form.unsized {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body) // a process that has ended calls again
+		_ = conn.Close()
+		d.noteWritten()
+		return
+	}
 	for piece := range slices.Chunk([]byte(body), d.pieceLength(len(body))) {
 		_, _ = w.Write(piece) // a process that has ended calls again
 		if d.form.pieces {
--- a/internal/daemon/discoveryconn.go
+++ b/internal/daemon/discoveryconn.go
@@ -183,7 +183,11 @@
 		case <-deadline:
 			return nil, false, errNoAnswer
 		case <-c.disconnected:
-			return nil, false, errConnectionEnded
+			if !c.response.EndsWithConnection() {
+				return nil, false, errConnectionEnded
+			}
+			c.response.Finish() // whether the body is complete shows as it is parsed
+			return c.response.Body(c.buffer), false, checkStatus(c.response.Status)
 		case bytes := <-c.received:
 			c.buffer = append(c.buffer, bytes...)
 		}
--- a/internal/soak/listform.go
+++ b/internal/soak/listform.go
@@ -18,7 +18,7 @@
 	doubleEntryOneIn   = 6  // of full lists with a second entry for each backend that drains
 	indentOneIn        = 3  // over several lines
 	listPiecesOneIn    = 4  // in pieces
-	listResetOneIn     = 25 // a reset in place of an answer
+	listResetOneIn     = 6 // a reset in place of an answer
 )
 
 const (
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -89,8 +89,10 @@
 // shows nothing of the list at the new one.
 func (l *Lease) ChangeAddress(now Time, validity Span) {
 	l.until = min(l.until, now+validity)
-	l.unconfirmed, l.unconfirmedSince, l.outageUntil = true, now, now
-	l.failures = 0
+	if !l.unconfirmed { // else nobody has answered since before
+		l.unconfirmed, l.unconfirmedSince = true, now
+	}
+	l.outageUntil, l.failures = now, 0
 }
 
 // Confirmed tells whether discovery has answered since the start, or since its address changed.
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// TestChangesOfAddressInAnOutageDoNotProlongIt has addresses change again and again before one of them has answered: the list
+// is used as soon as the last one fails too.
+func TestChangesOfAddressInAnOutageDoNotProlongIt(t *testing.T) {
+	l := New(0, length)
+	for at := second; at <= minUnconfirmedOutage; at += second {
+		l.Record(Failed, at)
+		l.ChangeAddress(at, 4*second)
+	}
+	if l.Valid(minUnconfirmedOutage) {
+		t.Error("used before the last address has failed")
+	}
+	if l.Record(Failed, minUnconfirmedOutage+second); !l.Valid(minUnconfirmedOutage + second) {
+		t.Error("not used in an outage that goes on")
+	}
+}
+
 // TestChangeOfAddressEndsLeaseEarlier has earlier evidence count no longer than the validity. Later evidence extends it again.
 func TestChangeOfAddressEndsLeaseEarlier(t *testing.T) {
 	l := New(100, length)
