Take an answer of discovery that breaks off for one that cannot be used

A response of status 200 that had begun and then broke off, or was not complete in time, was reported as a failed or unanswered call: two of them counted as proof that discovery is down and let the old list be used on, while discovery was there and had a newer one. It proves nothing now (ListInvalid); a timeout of a begun answer still lengthens the next one, so that a slow discovery is heard.

--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -32,7 +32,7 @@
 	answers []string      // one after the other, and the last again; empty: the connection is reset
 	every   bool          // each call is answered, also one that has the last answer's revision
 	pieces  bool          // the answer comes chunked, in three pieces within 0.3 s
-	unsized bool          // the answer has no length, and ends with its connection
+	head    string        // in place of the usual one; the connection closes behind the answer
 	moved   bool          // discovery moves to another address at that moment, by SIGHUP
 	transit bool          // the answers are those of the earlier address, and have begun as discovery moves; the next one is silent
 	removed string        // the backends that count as removed or draining from here on
@@ -53,6 +53,12 @@
 	noObject    = `"%[1]s"`
 )
 
+// Heads of answers that end with their connection: one that gives no length, and one that gives more than comes.
+const (
+	unsizedHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	cutHead     = "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"
+)
+
 // entry is a backend's entry of a form.
 func entry(form, uid string) string { return fmt.Sprintf(form, uid) }
 
@@ -78,8 +84,9 @@
 	{name: "empty-at-each-call", answers: []string{fullList(6)}, every: true, removed: "abc"},
 	{name: "empty-in-pieces", answers: []string{fullList(6)}, pieces: true, removed: "abc"},
 	{name: "empty-revision-as-before", answers: []string{fullList(confirmedRevision)}, removed: "abc"},
-	{name: "empty-without-length", answers: []string{fullList(6)}, unsized: true, every: true, removed: "abc"},
-	{name: "one-terminated-without-length", answers: []string{changes(6, entry(terminated, "b"))}, unsized: true, every: true, removed: "b"},
+	{name: "empty-without-length", answers: []string{fullList(6)}, head: unsizedHead, every: true, removed: "abc"},
+	{name: "one-terminated-without-length", answers: []string{changes(6, entry(terminated, "b"))}, head: unsizedHead, every: true, removed: "b"},
+	{name: "cut-short", answers: []string{fullList(6)}, head: cutHead, every: true, after: notificationTimeout, removed: "abc"},
 	{name: "empty-after-a-reset", answers: []string{"", fullList(6)}, removed: "abc"},
 	{name: "null", answers: []string{`{"rev":6,"all":true,"targets":null}`}, removed: "abc"},
 	{name: "no-targets", answers: []string{`{"rev":6,"all":true}`}, removed: "abc"},
@@ -224,12 +231,12 @@
 		resetConnection(w)
 		return
 	}
-	if d.form.unsized {
+	if d.form.head != "" {
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body) // a process that has ended calls again
+		_, _ = io.WriteString(conn, d.form.head+body) // a process that has ended calls again
 		_ = conn.Close()
 		d.noteWritten()
 		return
--- a/internal/daemon/calllog.go
+++ b/internal/daemon/calllog.go
@@ -52,10 +52,10 @@
 		return callAnswered
 	case errors.Is(r.err, errAddressChanged):
 		return callAbandoned
-	case errors.Is(r.err, errNoAnswer):
-		return callTimedOut
 	case errors.Is(r.err, errInvalidList):
 		return callInvalid
+	case errors.Is(r.err, errNoAnswer):
+		return callTimedOut
 	case errors.Is(r.err, errOverloaded):
 		return callOverloaded
 	case errors.Is(r.err, errUnreachable):
--- a/internal/daemon/watch_errors.go
+++ b/internal/daemon/watch_errors.go
@@ -42,10 +42,10 @@
 // failureKind is what a failed call means to the decision module.
 func failureKind(err error) balancer.ListKind {
 	switch {
-	case errors.Is(err, errNoAnswer):
-		return balancer.ListTimeout
 	case errors.Is(err, errInvalidList):
 		return balancer.ListInvalid
+	case errors.Is(err, errNoAnswer):
+		return balancer.ListTimeout
 	case errors.Is(err, errOverloaded):
 		return balancer.ListOverloaded
 	}
