Split the tests of failed calls and faulty starts into tables and single jobs

TestFailedCallIsClassified carried its cases in suffixes of their names, and playStartFault was 72 lines. The cases are a table now (a call cut short is one more), the connection that never comes up has a test of its own, and the discovery of a start is a type. Two functions of the soak's list that were alike share one; two comments follow renamed kinds.

--- a/cmd/tulipglade/start_fault_test.go
+++ b/cmd/tulipglade/start_fault_test.go
@@ -72,43 +72,91 @@
 // startPlay is what one start has shown.
 type startPlay struct {
 	ready, served time.Duration // since the start
-	atRemoved     int32         // requests at the removed backend before discovery could be reached for 5 s without an answer
+	atRemoved     int32         // requests at the removed backend
 	late          int32         // requests there over removalGrace after the removal was written
 }
 
 // startAddresses counts the addresses of discovery that have been taken.
 var startAddresses atomic.Int32
 
+// startFaultDiscovery is the discovery of one start, with the fault.
+type startFaultDiscovery struct {
+	fault     startFault
+	began     time.Time
+	address   string
+	listener  net.Listener
+	server    *httptest.Server
+	writtenAt atomic.Int64 // when the removal was first written, as Unix time in nanoseconds; 0: not yet
+}
+
+func newStartFaultDiscovery(t *testing.T, fault startFault) *startFaultDiscovery {
+	t.Helper()
+	// An address of its own, at which no other test can take the port while nobody listens.
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.1:0", startAddresses.Add(1)%250))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &startFaultDiscovery{fault: fault, began: time.Now(), address: listener.Addr().String(), listener: listener}
+	if fault.refuses > 0 {
+		_ = listener.Close() // it listens again later
+	}
+	d.server = httptest.NewUnstartedServer(fault.handler(d.began, func() { d.writtenAt.CompareAndSwap(0, time.Now().UnixNano()) }))
+	t.Cleanup(d.server.Close)
+	t.Cleanup(d.server.CloseClientConnections)
+	return d
+}
+
+// listen accepts calls, after the time in which they are refused.
+func (d *startFaultDiscovery) listen(t *testing.T) {
+	t.Helper()
+	if d.fault.refuses > 0 {
+		time.Sleep(d.fault.refuses)
+		var err error
+		if d.listener, err = net.Listen("tcp", d.address); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = d.server.Listener.Close() // the one that httptest has opened
+	d.server.Listener = d.listener
+	d.server.Start()
+}
+
+// late reports whether nothing may start at the removed backend any more.
+func (d *startFaultDiscovery) late() bool {
+	at := d.writtenAt.Load()
+	return at > 0 && time.Since(time.Unix(0, at)) > removalGrace
+}
+
+// awaitRemoval waits until the process has been told, and for a while after that.
+func (d *startFaultDiscovery) awaitRemoval(t *testing.T, p *process) {
+	t.Helper()
+	time.Sleep(max(d.fault.rejects, d.fault.silent, d.fault.pieces) + startObserved)
+	for end := time.Now().Add(servesWithin); d.writtenAt.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(removalGrace + 100*time.Millisecond)
+	if d.writtenAt.Load() == 0 {
+		t.Errorf("the process has not heard of the removal: %s", p.output)
+	}
+}
+
 func playStartFault(t *testing.T, fault startFault) startPlay {
 	t.Helper()
 	var play startPlay
 	var atRemoved, late, answered, rejected atomic.Int32
-	var writtenAt atomic.Int64
+	discovery := newStartFaultDiscovery(t, fault)
 	inService := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer inService.Close()
 	removed := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		atRemoved.Add(1)
-		if at := writtenAt.Load(); at > 0 && time.Since(time.Unix(0, at)) > removalGrace {
+		if discovery.late() {
 			late.Add(1)
 		}
 	}))
 	defer removed.Close()
-	began := time.Now()
-	// An address of its own, at which no other test can take the port while nobody listens.
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.1:0", startAddresses.Add(1)%250))
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	if fault.refuses > 0 {
-		_ = listener.Close() // it listens again later
-	}
-	server := httptest.NewUnstartedServer(fault.handler(began, func() { writtenAt.CompareAndSwap(0, time.Now().UnixNano()) }))
-	defer server.Close()
-	defer server.CloseClientConnections()
 	p := newProcess(t, fleetNode{
 		fleetSize:      10,
-		discovery:      address,
+		discovery:      discovery.address,
 		endpoints:      map[string]string{"a": inService.Listener.Addr().String(), "b": removed.Listener.Addr().String()},
 		class:          readClass,
 		connectTimeout: 250 * time.Millisecond,
@@ -122,37 +170,26 @@
 		client := steadyClient{address: p.clientAddress(t), answered: &answered, rejected: &rejected, pause: 2 * time.Millisecond}
 		client.run(t, stop)
 	})
-	clients.Go(func() {
-		if awaitReady(p.clientAddress(t), startupTimeout) {
-			play.ready = time.Since(began)
-		}
-		for ; answered.Load() == 0 && time.Since(began) < startupTimeout; time.Sleep(time.Millisecond) {
-		}
-		play.served = time.Since(began)
-	})
-	time.Sleep(fault.refuses)
-	if fault.refuses > 0 {
-		if listener, err = net.Listen("tcp", address); err != nil {
-			t.Fatal(err)
-		}
-	}
-	_ = server.Listener.Close()
-	server.Listener = listener
-	server.Start()
-	time.Sleep(max(fault.rejects, fault.silent, fault.pieces) + startObserved)
-	for end := time.Now().Add(servesWithin); writtenAt.Load() == 0 && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-	}
-	time.Sleep(removalGrace + 100*time.Millisecond)
+	clients.Go(func() { play.awaitService(p.clientAddress(t), discovery.began, &answered) })
+	discovery.listen(t)
+	discovery.awaitRemoval(t, p)
 	close(stop)
 	clients.Wait()
 	play.atRemoved, play.late = atRemoved.Load(), late.Load()
-	if writtenAt.Load() == 0 {
-		t.Errorf("the process has not heard of the removal: %s", p.output)
-	}
 	return play
 }
 
+// awaitService notes when the process is ready, and when it has served a request.
+func (p *startPlay) awaitService(address string, began time.Time, answered *atomic.Int32) {
+	if awaitReady(address, startupTimeout) {
+		p.ready = time.Since(began)
+	}
+	for answered.Load() == 0 && time.Since(began) < startupTimeout {
+		time.Sleep(time.Millisecond)
+	}
+	p.served = time.Since(began)
+}
+
 // A process that starts with a list from before a removal sends nothing to that backend, whatever becomes of its first calls,
 // unless discovery cannot be reached for long; and it serves within 10 s in any case.
 func TestStartBeforeFaultyDiscovery(t *testing.T) {
--- a/internal/balancer/api.go
+++ b/internal/balancer/api.go
@@ -104,7 +104,7 @@
 	StartedAt  Time    // 0: long ago
 }
 
-// NoEvidence, as the time at which a list was current, says that it proves nothing of what is current.
+// NoEvidence stands for the time at which a list was current, where it proves nothing of what is current.
 const NoEvidence Time = -1 << 63
 
 // ListKind says what a HandleEndpoints event carries.
--- a/internal/daemon/watch_errors_test.go
+++ b/internal/daemon/watch_errors_test.go
@@ -5,48 +5,54 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
 )
 
+// resetCall ends a call without an answer.
+func resetCall(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
 // A call that is rejected at once has met a discovery that is down; one that was queued first has met an overloaded one,
-// and the next is spread over time; one whose connection is never established has had no answer.
+// and the next is spread over time; an answer that cannot be used is neither, whenever it comes.
 func TestFailedCallIsClassified(t *testing.T) {
-	for name, c := range map[string]struct {
+	reject := func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	for _, c := range []struct {
+		name              string
 		queueingThreshold time.Duration // a call that fails after so long was queued
 		fail              func(http.ResponseWriter)
+		want              string
 	}{
-		"failed":                    {time.Hour, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }},
-		"overloaded":                {0, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }},
-		"invalid, no HTTP, no list": {0, func(w http.ResponseWriter) { w.Header().Set("Content-Length", "99999999999") }}, // too large
-		"invalid, no list":          {0, func(w http.ResponseWriter) { respond(w, `{"rev":`) }},                           // an answer, but an invalid one
+		{"rejected at once", time.Hour, reject, "failed"},
+		{"reset at once", time.Hour, resetCall, "failed"},
+		{"rejected after a wait", 0, reject, "overloaded"},
+		{"reset after a wait", 0, resetCall, "overloaded"},
+		{"no list", 0, func(w http.ResponseWriter) { respond(w, `{"rev":`) }, "invalid"},
+		{"too large", 0, func(w http.ResponseWriter) { w.Header().Set("Content-Length", "99999999999") }, "invalid"},
+		{"cut short", 0, func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "99")
+			respond(w, `{"rev":1,"all":true,"targets":[]}`)
+		}, "invalid"},
 	} {
-		name, noList := strings.CutSuffix(name, ", no list")
-		name = strings.TrimSuffix(name, ", no HTTP")
-		for _, reset := range []bool{false, true} {
-			if noList && reset {
-				continue
-			}
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				if !reset {
-					c.fail(w)
-					return
-				}
-				conn, _, err := w.(http.Hijacker).Hijack()
-				if err == nil {
-					_ = conn.Close()
-				}
-			}))
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.fail(w) }))
+			defer server.Close()
 			received := make(notifications, 1)
 			w := newWatch(server.Listener.Addr().String(), 1, slog.New(slog.DiscardHandler))
 			w.listener, w.queueingThreshold = received, c.queueingThreshold
 			w.Watch(true)
-			received.want(t, name)
-			server.Close()
-		}
+			received.want(t, c.want)
+		})
 	}
+}
+
+// A call whose connection never comes up has had no answer.
+func TestCallWithoutConnectionHasNoAnswer(t *testing.T) {
 	full, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts: once its queue is full, connections are not established
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -47,7 +47,8 @@
 	})
 }
 
-// DiscoveryCallFailed reports a failed call to discovery and the kind of failure: ListFailed, ListSilent or ListBusy.
+// DiscoveryCallFailed reports a failed call to discovery and the kind of failure: ListFailed, ListTimeout, ListOverloaded or
+// ListInvalid.
 // No newer list was available as of the given time.
 func (n *Node) DiscoveryCallFailed(err error, how balancer.ListKind, asOf time.Time) {
 	n.post(func() {
--- a/internal/soak/endpointlist.go
+++ b/internal/soak/endpointlist.go
@@ -89,30 +89,28 @@
 
 // setAll changes the state of those backends that are in service, in one revision, which it returns.
 func (l *endpointList) setAll(backends []int, state endpointState) (revision int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var changed []listChange
-	for _, backend := range backends {
-		if change := l.last(backend); change.state == stateInService {
-			change.state = state
-			changed = append(changed, change)
-		}
-	}
-	return l.addAll(changed)
+	inService := func(last listChange) bool { return last.state == stateInService }
+	return l.changeThose(backends, inService, state)
 }
 
 // restore puts those backends that a revision has changed last back into service, in one revision.
 func (l *endpointList) restore(backends []int, revision int) {
+	changedThen := func(last listChange) bool { return last.revision == revision }
+	l.changeThose(backends, changedThen, stateInService)
+}
+
+// changeThose changes the state of those backends whose last change matches, in one revision, which it returns.
+func (l *endpointList) changeThose(backends []int, matches func(listChange) bool, state endpointState) (revision int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changed []listChange
 	for _, backend := range backends {
-		if change := l.last(backend); change.revision == revision {
-			change.state = stateInService
+		if change := l.last(backend); matches(change) {
+			change.state = state
 			changed = append(changed, change)
 		}
 	}
-	l.addAll(changed)
+	return l.addAll(changed)
 }
 
 // addAll gives changes the next revision and the present time. The caller holds the mutex.
