Log when a successor serves, and wait for that in the test of its list

TestSuccessorInheritsListWithoutEndpoints failed in 6 of 24 runs, twelve at once: it stopped the predecessor before that had heard that the successor serves, and a new connection that the predecessor still accepted met its end (EOF). And its second case had so long a name that the path of the handoff's socket was too long, so that it tested nothing. The predecessor logs 'successor serving' now, the test waits for it, and the case has a short name: 24 of 24 pass, twelve at once.

--- a/internal/daemon/hotrestart.go
+++ b/internal/daemon/hotrestart.go
@@ -158,6 +158,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.successorServing = true
+	p.log.Info("successor serving")
 	if p.stopping {
 		p.listener.StopAccepting()
 	}
--- a/internal/daemon/hotrestart_test.go
+++ b/internal/daemon/hotrestart_test.go
@@ -156,8 +156,8 @@
 // answered it, and the lease on it is passed on.
 func TestSuccessorInheritsListWithoutEndpoints(t *testing.T) {
 	for name, lists := range map[string][]string{
-		"empty":                 {`{"rev":50,"all":true,"targets":[]}`},
-		"empty, lower revision": {`{"rev":7,"all":true,"targets":[]}`, `{"rev":7,"all":true,"targets":[]}`},
+		"empty": {`{"rev":50,"all":true,"targets":[]}`},
+		"lower": {`{"rev":7,"all":true,"targets":[]}`, `{"rev":7,"all":true,"targets":[]}`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var calls atomic.Int32
@@ -181,6 +181,7 @@
 				time.Sleep(time.Millisecond) // the call after the last list shows that it was taken
 			}
 			successor, address, _ := startTestProcess(t, text)
+			process.log.await(t, "successor serving")
 			process.cancel()
 			process.log.await(t, "msg=stopped")
 			for i := range 5 {
