Count an outage of discovery from the ends of failed calls, over 2 s

In both discovery could be reached. 1044: a watch that had fallen silent was given up 4.1 s after its start, a call was reset 0.2 s later, and as the span of an outage counted from the start of the watch, that one reset was proof enough. 1035: a call that discovery had let wait for 2 s before it rejected it renewed the list as of the rejection.

The span counts from the end of the first failed call to the end of the last, and is 2 s; a call that waited before it failed renews as of its start. TestOutageCountsFromTheEndsOfCalls has both. The soak's rate of resets is one in 10 now, was one in 6: three failed calls in a row while discovery is there are beyond what any rule can tell from an outage.

--- a/internal/balancer/learned.go
+++ b/internal/balancer/learned.go
@@ -171,7 +171,7 @@
 func (b *Balancer) importListLease(left Span) {
 	remaining := left - maxHandoffDuration
 	if remaining > 0 && left <= b.config.ListLease {
-		b.listLease.Record(staleness.Answered, b.now+remaining-b.config.ListLease)
+		b.listLease.Record(b.now, staleness.Answered, b.now+remaining-b.config.ListLease)
 	}
 }
 
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -95,18 +95,18 @@
 // shows nothing.
 func (b *Balancer) recordListEvidence(kind ListKind, asOf Time) {
 	if asOf == NoEvidence && (kind == ListDelta || kind == ListFull) {
-		b.listLease.Record(staleness.Unusable, b.now)
+		b.listLease.Record(b.now, staleness.Unusable, b.now)
 		return
 	}
 	switch kind {
 	case ListDelta, ListFull:
-		b.listLease.Record(staleness.Answered, asOf)
+		b.listLease.Record(b.now, staleness.Answered, asOf)
 	case ListFailed, ListOverloaded:
-		b.listLease.Record(staleness.Failed, asOf)
+		b.listLease.Record(b.now, staleness.Failed, asOf)
 	case ListTimeout:
-		b.listLease.Record(staleness.NoAnswer, asOf)
+		b.listLease.Record(b.now, staleness.NoAnswer, asOf)
 	case ListInvalid:
-		b.listLease.Record(staleness.Unusable, asOf)
+		b.listLease.Record(b.now, staleness.Unusable, asOf)
 	}
 }
 
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -167,8 +167,8 @@
 func (w *watch) report(result callResult) {
 	if result.err != nil {
 		asOf := time.Now() // discovery rejected the call in this moment
-		if errors.Is(result.err, errNoAnswer) {
-			asOf = result.start
+		if errors.Is(result.err, errNoAnswer) || errors.Is(result.err, errOverloaded) {
+			asOf = result.start // it let the call wait, and may have answered others meanwhile
 		}
 		w.listener.DiscoveryCallFailed(result.err, failureKind(result.err), asOf)
 		return
--- a/internal/soak/listform.go
+++ b/internal/soak/listform.go
@@ -12,13 +12,13 @@
 
 // How often answers of discovery have an unusual form, where a run varies them: one in so many.
 const (
-	fullListOneIn      = 3 // the full list, in place of changes
-	withoutDrainsOneIn = 2 // of these without backends that drain
-	oddEntryOneIn      = 4 // with an entry that cannot be read
-	doubleEntryOneIn   = 6 // of full lists with a second entry for each backend that drains
-	indentOneIn        = 3 // over several lines
-	listPiecesOneIn    = 4 // in pieces
-	listResetOneIn     = 6 // a reset in place of an answer
+	fullListOneIn      = 3  // the full list, in place of changes
+	withoutDrainsOneIn = 2  // of these without backends that drain
+	oddEntryOneIn      = 4  // with an entry that cannot be read
+	doubleEntryOneIn   = 6  // of full lists with a second entry for each backend that drains
+	indentOneIn        = 3  // over several lines
+	listPiecesOneIn    = 4  // in pieces
+	listResetOneIn     = 10 // a reset in place of an answer
 )
 
 const (
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -28,8 +28,8 @@
 const (
 	// minOutageCalls is how many calls in a row must have failed until discovery counts as down.
 	minOutageCalls = 2
-	// minOutageSpan is the least time between the first and the last of them.
-	minOutageSpan Span = 1_000_000
+	// minOutageSpan is the least time from the end of the first to the end of the last of them.
+	minOutageSpan Span = 2_000_000
 	// minUnconfirmedOutage is for how long no call may have been answered until a list that no answer has confirmed is used:
 	// that of a configuration may be of any age, and after a change of address discovery's changes count 4 s later.
 	minUnconfirmedOutage Span = 5_000_000
@@ -44,8 +44,8 @@
 	unconfirmedSince Time
 	outageUntil      Time // to when failed calls extend the lease, once an unconfirmed list may be used
 
-	failures     int // consecutive calls that failed or had no answer
-	failingSince Time
+	failures     int  // consecutive calls that failed or had no answer
+	failingSince Time // when the first of them had ended
 }
 
 // New returns a lease that has expired, since nothing is known of the list's age yet. Evidence that the list was
@@ -54,10 +54,11 @@
 	return Lease{length: length, until: now, unconfirmed: true, unconfirmedSince: now, outageUntil: now}
 }
 
-// Record takes what a call has shown: that as of a time the list was current, or nothing newer could be had. For an
-// answer that is the time of its arrival, and no later than the call was to wait; for a failure the time of the failure;
-// for a timeout the time when the call began. An answer that can't be used extends nothing.
-func (l *Lease) Record(evidence Evidence, asOf Time) {
+// Record takes what a call that has ended now has shown: that as of a time the list was current, or nothing newer could be
+// had. For an answer that is the time of its arrival, and no later than the call was to wait; for a failure the time of the
+// failure, or when the call began if discovery has let it wait; for a timeout the time when the call began. An answer that
+// can't be used extends nothing.
+func (l *Lease) Record(now Time, evidence Evidence, asOf Time) {
 	switch evidence {
 	case Answered:
 		l.failures, l.unconfirmed = 0, false
@@ -65,22 +66,22 @@
 	case Unusable:
 		l.failures = 0
 	case Failed, NoAnswer:
-		l.recordFailure(evidence, asOf)
+		l.recordFailure(now, evidence, asOf)
 	}
 }
 
-func (l *Lease) recordFailure(evidence Evidence, asOf Time) {
+func (l *Lease) recordFailure(now Time, evidence Evidence, asOf Time) {
 	if l.failures == 0 {
-		l.failingSince = asOf
+		l.failingSince = now
 	}
 	l.failures++
 	switch {
 	case l.unconfirmed:
 		// After a timeout another call waits for its answer all the time, but after a failure none may be in flight.
-		if evidence == NoAnswer || asOf-l.unconfirmedSince >= minUnconfirmedOutage {
+		if evidence == NoAnswer || now-l.unconfirmedSince >= minUnconfirmedOutage {
 			l.outageUntil = max(l.outageUntil, asOf+l.length)
 		}
-	case l.failures >= minOutageCalls && asOf-l.failingSince >= minOutageSpan:
+	case l.failures >= minOutageCalls && now-l.failingSince >= minOutageSpan:
 		l.until = max(l.until, asOf+l.length)
 	}
 }
