Fetch the full list after SIGHUP only if the earlier address brought something

The call that a change of address ends is waited for, and its answer had the next call fetch the full list, also where it said that nothing has changed: one list more for each reload of each node. It does so now only after an answer with entries, or a full one. The two cases moved-in-transit and the daemon's tests pass.

--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -64,7 +64,7 @@
 // notified. It proves nothing of the list at the new one, and of it only what it restricts holds.
 func (w *watch) finishCall(connection *discoveryConn) {
 	received, err := connection.finishCall(earlierAddressTimeout)
-	if err != nil {
+	if err != nil || !received.list.Full && len(received.list.Targets) == 0 {
 		return
 	}
 	w.mutex.Lock()
