--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -65,7 +65,8 @@
 	case kind == ListTimeout || kind == ListInvalid:
 		return maxTimeoutBackoffFraction * deadline
 	case kind == ListFailed && b.listLease.Bounded() && !b.listLease.Confirmed():
-		// Nothing is sent until discovery answers, or has failed for long: few nodes need not wait for each other.
+		// Nothing is sent until discovery answers, or has failed for long. Few nodes need not wait for each
+		// other.
 		return min(max(maxTimeoutBackoffFraction*deadline, b.pollSpread()), maxBackoffFraction*deadline)
 	case kind == ListOverloaded && !b.listLease.Bounded():
 		// If all nodes called sooner, discovery could not answer them in time.
@@ -110,8 +111,8 @@
 	}
 }
 
-// HandleDiscoveryMoved takes a change of discovery's address. What the old address said shows nothing of the list at the
-// new one, and counts for validity at most.
+// HandleDiscoveryMoved takes a change of discovery's address. What the old address said shows nothing of the
+// list at the new one, and counts for validity at most.
 func (b *Balancer) HandleDiscoveryMoved(now Time, validity Span) {
 	b.now = now
 	b.listLease.ChangeAddress(now, validity)
