Keep the comments of the new regression tests to one line

The users ask for a regression test with a name that says what it guards against and at most one line of comment; nine of the new ones had two or three. Comments alone change.

--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -379,8 +379,7 @@
 	}
 }
 
-// With no backend left the process stays ready, rejects within half of a request's time, and serves again at once as backends
-// are back.
+// With no backend left the process is ready, rejects within half of a request's time, and serves as soon as one is back.
 func TestProcessWithoutBackendsRejectsEarlyAndServesAgain(t *testing.T) {
 	for _, form := range []listForm{
 		{name: "empty", answers: []string{fullList(6)}},
--- a/cmd/tulipglade/start_fault_test.go
+++ b/cmd/tulipglade/start_fault_test.go
@@ -190,8 +190,7 @@
 	p.served = time.Since(began)
 }
 
-// A process that starts with a list from before a removal sends nothing to that backend, whatever becomes of its first calls,
-// unless discovery cannot be reached for long; and it serves within 10 s in any case.
+// A list from before a removal is not used at a start, unless discovery cannot be reached for long; it serves within 10 s.
 func TestStartBeforeFaultyDiscovery(t *testing.T) {
 	starts := environmentNumber("STARTS_PER_FAULT", startsPerFault)
 	for _, fault := range startFaults {
--- a/internal/balancer/admission_test.go
+++ b/internal/balancer/admission_test.go
@@ -154,9 +154,7 @@
 	wantFinal(t, node, 1, "reject")
 }
 
-// TestRequestsWithoutEndpointsAreRejectedEarly has all endpoints removed, all draining, or a list that is not known to be
-// current: a client has its rejection well within half of its time, and a request that still waits is sent as an endpoint
-// is back.
+// TestRequestsWithoutEndpointsAreRejectedEarly has a rejection well within half of a request's time.
 func TestRequestsWithoutEndpointsAreRejectedEarly(t *testing.T) {
 	draining := testEndpoints(4)
 	for i := range draining {
--- a/internal/daemon/hotrestart_test.go
+++ b/internal/daemon/hotrestart_test.go
@@ -152,8 +152,7 @@
 	}
 }
 
-// The list of the predecessor counts also where it is empty, or has a lower revision than the configuration: discovery has
-// answered it, and the lease on it is passed on.
+// The list of the predecessor counts also where it is empty or restricted, as the lease on it is passed on.
 func TestSuccessorInheritsListWithoutEndpoints(t *testing.T) {
 	for name, lists := range map[string][]string{
 		"empty": {`{"rev":50,"all":true,"targets":[]}`},
--- a/internal/node/registry_test.go
+++ b/internal/node/registry_test.go
@@ -150,8 +150,7 @@
 	})
 }
 
-// A backend whose entry cannot be read gets nothing new, and is as it was once a list states it again. One that is not
-// known is not added.
+// A backend whose entry cannot be read gets nothing new until a list states it again; one that is not known is not added.
 func TestEndpointOfUnreadableEntryDrains(t *testing.T) {
 	a := newTestBackend(t, serve)
 	n, _ := startNode(t, []protocol.Target{targetOf("a", a), targetOf("b", a)}, nil)
--- a/internal/staleness/revisions_test.go
+++ b/internal/staleness/revisions_test.go
@@ -2,8 +2,7 @@
 
 import "testing"
 
-// TestOrderOfRevisionsThatGoBack has a discovery that is behind once, one that was restarted with lower revisions, and two
-// that answer in turn.
+// TestOrderOfRevisionsThatGoBack has discoveries that are behind, were restarted, or answer in turn.
 func TestOrderOfRevisionsThatGoBack(t *testing.T) {
 	type answer struct {
 		at       Time
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -43,8 +43,7 @@
 	}
 }
 
-// TestOutageCountsFromTheEndsOfCalls has a watch that is given up 5 s after its start, and a call that fails right after
-// that: this is no outage of 5 s. What a failed call renews counts as of its own time.
+// TestOutageCountsFromTheEndsOfCalls has a watch that is given up 5 s after its start, and calls that fail after that.
 func TestOutageCountsFromTheEndsOfCalls(t *testing.T) {
 	l := New(-100, length)
 	l.Record(0, Answered, 0)
@@ -57,8 +56,7 @@
 	}
 }
 
-// TestUnconfirmedListIsUsedAfterLongOutage has a list that no answer has confirmed, at a start and after a change of address:
-// it is used once discovery has not answered for minUnconfirmedOutage, as a failed call after that or a timeout shows.
+// TestUnconfirmedListIsUsedAfterLongOutage has a list that no answer has confirmed, at a start and after a change of address.
 func TestUnconfirmedListIsUsedAfterLongOutage(t *testing.T) {
 	const start, used = 100, 100 + minUnconfirmedOutage
 	starts := map[string]func() Lease{
@@ -100,8 +98,7 @@
 	}
 }
 
-// TestChangesOfAddressInAnOutageDoNotProlongIt has addresses change again and again before one of them has answered: the list
-// is used as soon as the last one fails too.
+// TestChangesOfAddressInAnOutageDoNotProlongIt has addresses change again and again before one of them has answered.
 func TestChangesOfAddressInAnOutageDoNotProlongIt(t *testing.T) {
 	l := New(0, length)
 	for at := second; at <= minUnconfirmedOutage; at += second {
