Keep the addresses of connections that return to the poller

What callers saw: any client could end a node, and so lose the open requests of all others. A client that had uploaded 200,000 bytes and then did not read its answers ended the process 10 s later (exit 2, SIGSEGV in netpoll's waitFlush). With TULIPGLADE_LOG=debug an upload was enough: the process ended as that client left. The same holds for backends: one that stops reading a large request, on a connection that had carried a large answer, ends the process too.

Cause: a connection that carries a large message is detached from the poller, and attachToPoller makes a new one from its descriptor. netpoll leaves the addresses of such a connection nil, and calls remoteAddr.String() when a write times out; traceClient does the same on the event loop.

Mend: the new connection gets the addresses of the one that it replaces, where it is made, so that no user of either can meet the nil. They are set before the connection is used, through the same access to netpoll's fields as its operator, which now stands in one file; a netpoll with other fields fails the attachment, not the process. Weighed: a wrapper with the addresses would cover traceClient and not netpoll's own use; a time limit of our own would leave the nil; a listener that hands connections to netpoll's event loop would make each return asynchronous.

attachToPoller does not close the descriptor either when netpoll refuses it: netpoll has closed it by then.

--- a/internal/node/detach.go
+++ b/internal/node/detach.go
@@ -88,24 +88,35 @@
 }
 
 // attachToPoller returns a detached connection to the poller. It closes the descriptor; the poller's new connection
-// owns a duplicate of it.
-func attachToPoller(descriptor *os.File) (netpoll.Connection, error) {
-	raw, err := descriptor.SyscallConn()
+// owns a duplicate of it, and has the addresses of previous, the poller's connection before the detachment.
+func attachToPoller(descriptor *os.File, previous netpoll.Connection) (netpoll.Connection, error) {
+	fd, err := duplicateAndClose(descriptor)
 	if err != nil {
 		return nil, err
 	}
-	fd := -1
-	if e := raw.Control(func(old uintptr) { fd, err = unix.FcntlInt(old, unix.F_DUPFD_CLOEXEC, 0) }); e != nil {
-		err = e
-	}
-	_ = descriptor.Close()
-	if err != nil {
-		return nil, fmt.Errorf("duplicate descriptor: %w", err)
-	}
 	conn, err := netpoll.NewFDConnection(fd)
 	if err != nil {
-		_ = unix.Close(fd)
+		return nil, err // netpoll has closed the descriptor
+	}
+	if err := setAddresses(conn, previous.LocalAddr(), previous.RemoteAddr()); err != nil {
+		_ = conn.Close() // the error above is returned
 		return nil, err
 	}
 	return conn, conn.SetWriteTimeout(writeTimeout)
 }
+
+// duplicateAndClose returns the number of a duplicate of a descriptor, and closes the original.
+func duplicateAndClose(descriptor *os.File) (duplicate int, err error) {
+	raw, err := descriptor.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if e := raw.Control(func(fd uintptr) { duplicate, err = unix.FcntlInt(fd, unix.F_DUPFD_CLOEXEC, 0) }); e != nil {
+		err = e
+	}
+	_ = descriptor.Close()
+	if err != nil {
+		return 0, fmt.Errorf("duplicate descriptor: %w", err)
+	}
+	return duplicate, nil
+}
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -163,7 +163,7 @@
 
 // reattachBackend returns a backend's detached connection to the poller and to the pool. It is closed if that fails.
 func (n *Node) reattachBackend(conn *backendConn) {
-	pollerConn, err := attachToPoller(conn.descriptor)
+	pollerConn, err := attachToPoller(conn.descriptor, conn.conn)
 	if err != nil {
 		conn.descriptor = nil
 		n.closeBackendConn(conn, closePollerFailed)
--- a/internal/node/readlimit.go
+++ b/internal/node/readlimit.go
@@ -1,14 +1,10 @@
 package node
 
 import (
-	"errors"
 	"math"
-	"reflect"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
-	"unsafe"
 
 	"github.com/cloudwego/netpoll"
 
@@ -180,44 +176,3 @@
 	}
 	l.lastDeniedPause = pollerPauseCount
 }
-
-// errNoOperator reports that the internal structure of netpoll's connections is not the one that this package expects.
-var errNoOperator = errors.New("netpoll: connection has no operator of the expected type (unsupported version of netpoll?)")
-
-// operatorOf returns the operator of a connection, which is its registration with the poller. netpoll does not export
-// the field, so that it is read by reflection.
-func operatorOf(conn netpoll.Connection) (*netpoll.FDOperator, error) {
-	connValue := reflect.ValueOf(conn)
-	if connValue.Kind() != reflect.Pointer || connValue.Elem().Kind() != reflect.Struct {
-		return nil, errNoOperator
-	}
-	field := connValue.Elem().FieldByName("operator")
-	if !field.IsValid() || field.Type() != reflect.TypeFor[*netpoll.FDOperator]() || field.IsNil() {
-		return nil, errNoOperator
-	}
-	return (*netpoll.FDOperator)(field.UnsafePointer()), nil
-}
-
-// States of netpoll's operator, as its fd_operator.go defines them.
-const (
-	operatorUnregistered = 0
-	operatorRegistered   = 1
-	operatorLocked       = 2
-)
-
-// lockOperator keeps the poller from using an operator until unlock is called. It sets the operator's state as
-// netpoll's own Release does.
-func lockOperator(operator *netpoll.FDOperator) (unlock func(), err error) {
-	field := reflect.ValueOf(operator).Elem().FieldByName("state")
-	if !field.IsValid() || field.Kind() != reflect.Int32 {
-		return nil, errNoOperator
-	}
-	state := (*int32)(unsafe.Pointer(field.UnsafeAddr()))
-	if atomic.LoadInt32(state) == operatorUnregistered {
-		return func() {}, nil
-	}
-	for !atomic.CompareAndSwapInt32(state, operatorRegistered, operatorLocked) {
-		runtime.Gosched()
-	}
-	return func() { atomic.StoreInt32(state, operatorRegistered) }, nil
-}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -246,7 +246,7 @@
 // rejoinPoller returns a detached connection to the poller. If that fails, it handles the client as disconnected and
 // returns false.
 func (c *clientConn) rejoinPoller() bool {
-	conn, err := attachToPoller(c.descriptor)
+	conn, err := attachToPoller(c.descriptor, c.conn)
 	c.upload = nil
 	if err != nil {
 		c.node.warnLimited("reattaching client connection failed", "err", err)
