Close a listener's descriptor once, and use no descriptor's number after its owner's close

What callers saw: hardly anything in a process that serves, since its listener closes last; a process that starts while another part of it ends, a hot restart and every test could lose a connection or a listener of another owner. An aborted answer could set the connection of another client to be reset.

Cause: netpoll's listener closes its descriptor with syscall.Close and again through the file that it took the number from. What another goroutine opens under that number in between is closed under its owner, and from then on two owners share one number.

Mend: one type of listener, Listener, owns its descriptor, closes it once and gives no number away after that; it takes the place of netpoll's listener, of the inherited one and of the gate around both. The end of a process shuts the event loop down first, which removes the listener from the poller. The callback that runs before the poller closes a descriptor sets SO_LINGER; all other uses of a number hold the lock that this callback waits for. A process that fails to start closes its listener too.

--- a/internal/daemon/hotrestart.go
+++ b/internal/daemon/hotrestart.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	jsoniter "github.com/json-iterator/go"
 
 	"tulipglade/internal/admin"
@@ -34,7 +33,7 @@
 type inheritedState struct {
 	*hotrestart.Handoff
 	handoffState
-	listener netpoll.Listener
+	listener *node.Listener
 }
 
 // handoffSocketPath returns the path of the Unix socket for handoffs between processes of this node. It returns an
@@ -108,7 +107,7 @@
 type predecessorRole struct {
 	node     *node.Node
 	admin    *admin.Server
-	listener *node.GatedListener
+	listener *node.Listener
 	group    *processGroup
 	log      *slog.Logger
 
@@ -127,7 +126,7 @@
 	body, err = jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(handoffState{state, p.admin.SeenTokens()})
 	descriptor = noDescriptor
 	if err == nil {
-		descriptor, err = syscall.Dup(p.listener.Fd())
+		descriptor, err = p.listener.Duplicate()
 	}
 	if err != nil {
 		p.log.Warn("handoff failed", "err", err)
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -65,7 +65,7 @@
 	watch             *watch
 	node              *node.Node
 	admin             *admin.Server // nil: no admin address is configured
-	listener          *node.GatedListener
+	listener          *node.Listener
 	eventLoop         netpoll.EventLoop
 	group             *processGroup
 	predecessorRole   *predecessorRole
@@ -120,6 +120,8 @@
 		return
 	}
 	s.onClose(func() { _ = s.inherited.Close() }) // the handoff is over
+	s.listener = s.inherited.listener
+	s.onClose(s.closeListener)
 	list := s.inherited.EndpointList
 	if list.Revision >= s.endpoints.Revision || s.inherited.Learned.ListLeaseRemaining > 0 {
 		s.endpoints = list
@@ -156,28 +158,35 @@
 	return nil
 }
 
-// openListener opens the address for clients, or uses the listening socket of the predecessor, and creates the event
-// loop for clients. shutDown closes the listener; after an error of Serve, the listener is closed when the process
-// exits.
+// openListener opens the address for clients, unless the listening socket of the predecessor is used, and creates the
+// event loop for clients.
 func (s *server) openListener() error {
-	listener, err := s.listen()
-	if err != nil {
-		return err
-	}
-	s.listener = &node.GatedListener{Listener: listener}
-	s.eventLoop, err = s.node.NewClientEventLoop()
+	if s.listener == nil {
+		listener, err := node.Listen(s.config.Listen, s.config.Admin != "")
+		if err != nil {
+			return err
+		}
+		s.listener = listener
+		s.onClose(s.closeListener)
+	}
+	eventLoop, err := s.node.NewClientEventLoop()
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
+	s.eventLoop = eventLoop
 	return nil
 }
 
-// listen returns the inherited listener, or else a new one at the configured address.
-func (s *server) listen() (netpoll.Listener, error) {
-	if s.inherited != nil {
-		return s.inherited.listener, nil
+// closeListener removes the listener from the poller and closes it. The order matters: where another process shares the
+// socket, the poller would go on to report its events, and remove what has the same number by then. Calls after the
+// first have no effect.
+func (s *server) closeListener() {
+	if s.eventLoop != nil {
+		noWait, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.eventLoop.Shutdown(noWait) // the node has closed its connections; what is left ends with the process
 	}
-	return node.Listen(s.config.Listen, s.config.Admin != "")
+	_ = s.listener.Close() // the event loop closes it only if it has begun to serve; the process exits if this fails
 }
 
 // start passes the known endpoint list and the inherited state to the node, and starts the goroutines that run the node
@@ -231,5 +240,5 @@
 	}
 	close(s.stopNode)
 	<-s.nodeStopped
-	_ = s.listener.Close() // the process exits, whether or not this fails
+	s.closeListener()
 }
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -28,12 +28,10 @@
 func (b *backendConn) attach(conn netpoll.Connection) error {
 	b.conn = conn
 	_ = conn.SetWriteTimeout(writeTimeout)
-	if c, ok := conn.(fdConn); ok {
-		_ = limitReceiveBuffer(uintptr(c.Fd()))
-	}
 	if err := b.initPollerConn(b.node.readBudget, func() { b.node.report(reportClosed, b.connectionEnded) }); err != nil {
 		return err
 	}
+	b.limitReceiveBuffer()
 	return conn.SetOnRequest(b.onInput)
 }
 
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -3,8 +3,6 @@
 import (
 	"os"
 
-	"golang.org/x/sys/unix"
-
 	"tulipglade/internal/balancer"
 	"tulipglade/internal/protocol"
 )
@@ -186,8 +184,8 @@
 // incomplete.
 func (c *clientConn) abortAnswer(untilClose bool) {
 	// An orderly close would look like the end of a complete answer: the connection is reset.
-	if transport, ok := c.conn.(fdConn); ok && untilClose && c.descriptor == nil {
-		_ = unix.SetsockoptLinger(transport.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	if untilClose {
+		c.resetOnClose()
 	}
 	c.close(closeAnswerTruncated)
 }
--- a/internal/node/pollerbarrier.go
+++ b/internal/node/pollerbarrier.go
@@ -62,7 +62,7 @@
 	}
 	conn, err := netpoll.NewFDConnection(fds[0])
 	if err != nil {
-		_, _ = unix.Close(fds[0]), unix.Close(fds[1])
+		_ = unix.Close(fds[1]) // netpoll has closed the other one
 		return err
 	}
 	b.pipe = os.NewFile(uintptr(fds[1]), "poller")
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -5,10 +5,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // socket is a connection of the poller, or the descriptor that replaces it while the connection is detached from the
@@ -22,6 +22,7 @@
 	mu              sync.Mutex
 	transportClosed bool        // the poller's connection has ended
 	closedByPoller  atomic.Bool // the poller, not the node, has closed conn
+	resetRequested  atomic.Bool // the close of conn resets the connection
 	// disconnectedAt is when the poller noticed that a client had disconnected, on the node's clock; 0: it has not.
 	disconnectedAt    atomic.Int64
 	peerClosedCleanly bool                          // the peer has closed the connection without a reset
@@ -48,6 +49,9 @@
 		limiter.recordEnd()
 		s.mu.Lock()
 		s.transportClosed = true
+		if c, ok := conn.(fdConn); ok && s.resetRequested.Load() { // the descriptor is closed only after this callback
+			_ = unix.SetsockoptLinger(c.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		}
 		onDetached := s.onDetached
 		s.onDetached = nil
 		s.mu.Unlock()
@@ -92,11 +96,35 @@
 func (s *socket) closeWrite() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	fd, ok := s.openDescriptor()
+	return ok && unix.Shutdown(fd, unix.SHUT_WR) == nil
+}
+
+// resetOnClose makes the close of the connection reset it, unless it has ended or is detached from the poller. It does
+// not wait for a write in progress.
+func (s *socket) resetOnClose() { s.resetRequested.Store(true) }
+
+// limitReceiveBuffer sets the size of the connection's receive buffer, unless the connection has ended.
+func (s *socket) limitReceiveBuffer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fd, ok := s.openDescriptor(); ok {
+		_ = limitReceiveBuffer(fd)
+	}
+}
+
+// openDescriptor returns the descriptor of the poller's connection. It reports false if the connection has ended, as
+// the number may belong to another one by then, or if it is detached from the poller. The caller holds s.mu until it
+// has used the descriptor: the callback that runs before the poller closes the descriptor waits for it.
+func (s *socket) openDescriptor() (fd int, ok bool) {
 	if s.descriptor != nil || s.transportClosed || !s.conn.IsActive() {
-		return false
+		return 0, false
 	}
 	c, ok := s.conn.(fdConn)
-	return ok && syscall.Shutdown(c.Fd(), syscall.SHUT_WR) == nil
+	if !ok {
+		return 0, false
+	}
+	return c.Fd(), true
 }
 
 // closeTransport closes the poller's connection, or the descriptor while the connection is detached.
@@ -142,10 +170,10 @@
 	if s.transportClosed || !s.conn.IsActive() {
 		return false
 	}
-	if c, ok := s.conn.(fdConn); ok {
+	if fd, ok := s.openDescriptor(); ok {
 		var peeked [1]byte
-		_, _, err := syscall.Recvfrom(c.Fd(), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err != syscall.EAGAIN && err != syscall.EINTR {
+		_, _, err := unix.Recvfrom(fd, peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err != unix.EAGAIN && err != unix.EINTR {
 			return false
 		}
 	}
