End a shutdown in time although clients do not read their answers

What callers saw: one client that does not read its answer kept a process from ending for 10 s after SIGTERM, where the longest deadline plus 0.7 s is allowed. A process that is killed by then loses what it still has open.

Cause: checkDrained waited for each answer in progress without regard to answersDueBy, so the 10 s of a write's timeout counted.

Evidence: TestClientThatStopsReadingDoesNotDelayShutdown, a real process with a deadline of 1.5 s.

Mend: when the answers are due, connections whose answer is still being written are closed and reset, so that their clients can tell that the answer is incomplete. Closing wakes the writer; the event loop waits for no write.

--- a/cmd/tulipglade/unread_answer_test.go
+++ b/cmd/tulipglade/unread_answer_test.go
@@ -31,7 +31,7 @@
 )
 
 // unreadBackend answers as the query says: with a large body for "large=1", or after its release, without reading the
-// request's body, for "stall=1". All other answers have unreadAnswerBytes.
+// request's body, for "stall=1", or with more than the kernels buffer, for "unread=1". All other answers have unreadAnswerBytes.
 type unreadBackend struct {
 	stalled  chan struct{} // receives a value for each request that is not read
 	released chan struct{}
@@ -44,6 +44,8 @@
 		b.stalled <- struct{}{}
 		<-b.released
 		return
+	case r.URL.Query().Get("unread") != "":
+		size = unreadUploadBytes
 	case r.URL.Query().Get("large") != "":
 		size = largeMessageBytes
 	}
@@ -239,3 +241,34 @@
 	})
 	r.checkServed(t, time.Second)
 }
+
+// TestClientThatStopsReadingDoesNotDelayShutdown guards against a client that keeps a process from ending in time: a
+// process may be killed 0.7 s after the longest deadline, 1.5 s here.
+func TestClientThatStopsReadingDoesNotDelayShutdown(t *testing.T) {
+	const endTimeLimit = 1500*time.Millisecond + 700*time.Millisecond
+	for name, stall := range map[string]func(*testing.T, *unreadRun){
+		"after-small-request": stallClient(http.MethodGet, "", 0),
+		"after-upload":        stallClient(http.MethodPost, "", largeMessageBytes),
+		"in-a-download": func(t *testing.T, r *unreadRun) {
+			t.Helper()
+			_, _ = io.WriteString(r.dial(t), readRequestHead(http.MethodGet, "unread=1", 0)) // the process is seen to wait
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newUnreadRun(t, "GORACE=atexit_sleep_ms=0") // by default, the race detector delays the exit by a second
+			stall(t, r)
+			if err := r.process.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			if err := r.process.wait(); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(began); took > endTimeLimit {
+				t.Errorf("the process ended %v after SIGTERM, want %v at most", took, endTimeLimit)
+			}
+		})
+	}
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -59,6 +59,7 @@
 		n.drain.stopping = true
 		now := n.now()
 		n.drain.setDeadlines(now, n.longestDeadline())
+		n.scheduleAt(n.drain.answersDueBy, n.checkDrained)
 		n.scheduleAt(max(now+grace.Microseconds(), n.drain.startedAt+idleCloseDelay), func() { n.drain.onDrained = done })
 	})
 }
@@ -114,7 +115,13 @@
 // it.
 func (n *Node) checkDrained() {
 	now := n.now()
-	if n.drain.onDrained == nil || n.openRequests > 0 || n.answersInProgress > 0 {
+	if n.drain.onDrained == nil || n.openRequests > 0 {
+		return
+	}
+	if n.answersInProgress > 0 {
+		if now >= n.drain.answersDueBy {
+			n.abortUnreadAnswers()
+		}
 		return
 	}
 	if now < n.drain.partialRequestsUntil && n.hasIncomingRequest() {
@@ -130,6 +137,17 @@
 	onDrained()
 }
 
+// abortUnreadAnswers closes the connections of clients that have not read their answers by the end of a shutdown. Each
+// is reset, so that its client can tell that the answer is incomplete.
+func (n *Node) abortUnreadAnswers() {
+	for client := range n.clients {
+		if client.writingAnswer {
+			client.resetOnClose()
+			client.close(closeAnswerTruncated)
+		}
+	}
+}
+
 // closeClientsGracefully closes all client connections on which no request or answer is in progress, and returns the
 // number of connections that are still busy. A request that arrived before its connection could be closed is rejected
 // rather than dropped.
