State a backend the time that is left when the first byte is written

What callers saw: a node that was held up told a backend up to 0.26 s more than its client had left; 0.15 s are allowed.

Cause: the bound between the check of an attempt and its first byte began in writeUnlessDelayed, after the timeout had been computed. A delay of the event loop between the two was not seen.

Evidence: TestStatedTimeoutCountsDelayOfEventLoop holds the event loop up for 260 ms at that point, through a seam.

Mend: the bound counts from the check of the attempt, which comes before the computation. A delay within the system call of the write itself can not be seen, and the audit, which reads the clock right before it, can not count it.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -13,6 +13,7 @@
 	number        int
 	endpoint      *endpoint
 	startedAt     int64
+	checkedAt     int64        // when it was last checked whether the attempt may start, before its timeout is stated
 	deadline      int64        // when the node gives up waiting for the answer; noDeadline while a large request is uploaded
 	conn          *backendConn // nil: the attempt has no connection yet
 	state         attemptState
--- a/internal/node/attempt_test.go
+++ b/internal/node/attempt_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -356,6 +358,34 @@
 	}
 }
 
+// TestStatedTimeoutCountsDelayOfEventLoop guards against a backend that is told more time than its client has left: the
+// event loop was held up between the computation of the timeout and the write.
+func TestStatedTimeoutCountsDelayOfEventLoop(t *testing.T) {
+	const deadline, delay = 2000, 260 * time.Millisecond // the deadline is in milliseconds
+	stated := make(chan int, 1)
+	backend := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		timeout, _ := strconv.Atoi(r.Header.Get("X-Expires-In-Ms"))
+		stated <- timeout
+		serve(w, r)
+	})
+	n, addr := startNode(t, backend.targets(), nil)
+	runOnLoop(n, func() {
+		n.testBeforeFirstWrite = sync.OnceFunc(func() { time.Sleep(delay) })
+	})
+	conn := dialNode(t, addr)
+	if code, _, _ := conn.exchange(requestText("read", deadline)); code != 200 {
+		t.Error(code)
+	}
+	if timeout := <-stated; timeout > deadline-int(delay.Milliseconds())+deadlineSlack/1000 {
+		t.Errorf("the backend was told %d ms, %v after the deadline of %d ms began", timeout, delay, deadline)
+	}
+	runOnLoop(n, func() {
+		if len(n.violations) > 0 {
+			t.Errorf("counted violations %v", n.violations)
+		}
+	})
+}
+
 // The audit counts violations as of the first byte of an attempt, whatever has decided to start the attempt.
 func TestAuditAtFirstByte(t *testing.T) {
 	n, _ := startNode(t, newTestBackend(t, serve).targets(), requireListLease)
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -7,7 +7,8 @@
 )
 
 // maxWriteDelay is how much time may pass between the check of an attempt and the write of its first byte, in
-// microseconds. An attempt whose goroutine or process was delayed for longer is not written but checked again.
+// microseconds. An attempt whose goroutine or process was delayed for longer, be it on the event loop or on its way to
+// the write, is not written but checked again, and its timeout is stated anew.
 const maxWriteDelay = 10_000
 
 // errWriteDelayed reports that a write was not started because more than maxWriteDelay had passed since the check of
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -12,6 +12,7 @@
 // mayStart checks, right before the first byte of an attempt is written, whether the attempt may still start. If not,
 // it returns the reason.
 func (n *Node) mayStart(att *attempt) (reason safety.Reason) {
+	att.checkedAt = n.now()
 	switch {
 	case att.isHealthCheck && att.endpoint.state != protocol.InService:
 		reason = safety.BackendDraining
@@ -63,7 +64,10 @@
 	if length < 0 && len(body) > 0 {
 		parts = [][]byte{append(strconv.AppendInt(headBytes, int64(len(body)), 16), "\r\n"...), body, []byte("\r\n")}
 	}
-	n.writeUnlessDelayed(&conn.socket, func(startedAt int64, err error) {
+	if n.testBeforeFirstWrite != nil {
+		n.testBeforeFirstWrite()
+	}
+	n.writeUnlessDelayed(&conn.socket, att.checkedAt, func(startedAt int64, err error) {
 		head.release()
 		requestBuffer.release()
 		if start.writtenAt = startedAt; !errors.Is(err, errWriteDelayed) {
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -216,13 +216,13 @@
 }
 
 // writeUnlessDelayed writes the first bytes of an attempt, which must follow its check soon: if the write would start
-// more than maxWriteDelay after this call, nothing is written and the error is errWriteDelayed. onWritten also gets
+// more than maxWriteDelay after checkedAt, nothing is written and the error is errWriteDelayed. onWritten also gets
 // the time at which the write was started.
-func (n *Node) writeUnlessDelayed(target *socket, onWritten func(startedAt int64, err error), parts ...[]byte) {
-	allowedAt := n.now() - n.testWriteDelay
+func (n *Node) writeUnlessDelayed(target *socket, checkedAt int64, onWritten func(startedAt int64, err error), parts ...[]byte) {
+	checkedAt -= n.testWriteDelay
 	go func() {
 		startedAt, err := n.now(), error(nil)
-		if startedAt-allowedAt > maxWriteDelay {
+		if startedAt-checkedAt > maxWriteDelay {
 			err = errWriteDelayed
 		} else {
 			err = target.write(parts)
