Release reports in a forced order where a test depends on it

TestNewConnectionIsServedWhileAnswersAreReported ordered its connections by reports that were each 3 ms late.

The reports of all writes are now held until every answer has been read, and the report of the oldest connection is released first. The conditions, their number and the bound are as before, and the state that the test is about, no answer known to be written, is now certain for all of them and not only likely.

--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"runtime"
 	"testing"
-	"time"
 
 	"tulipglade/internal/protocol"
 )
@@ -132,25 +131,31 @@
 // A new connection must not be closed because connections that have just been answered are not known to be idle yet.
 // After a client has read its whole answer, its connection counts as one with a request in progress until the report of
 // the write reaches the event loop. When all connections were in that state or busy, the node logged
-// "client connection rejected descriptors=5" and closed the newest one without an answer. This is
-// TestDescriptorsAreCapped with the report of each write delayed by 3 ms.
+// "client connection rejected descriptors=5" and closed the newest one without an answer. The reports of all writes are
+// held until every answer has been read. Then the report of the oldest connection is released first, so that it becomes
+// idle first.
 func TestNewConnectionIsServedWhileAnswersAreReported(t *testing.T) {
 	backend, arrived, release := newBlockedBackend(t)
 	n, addr := startNode(t, []protocol.Target{targetOf("a", backend)}, func(s *Settings) { s.MaxDescriptors = reservedDescriptors + 4 })
-	delayReports(n, reportWritten, 3*time.Millisecond)
+	reports := holdReports(t, n, reportWritten)
 	busy := dialNode(t, addr)
 	_, _ = io.WriteString(busy, requestText("once", 9000))
 	<-arrived
+	reports.await(1) // of the request to the backend
 	oldest := dialNode(t, addr)
 	oldest.exchange(readyRequest)
-	for range maxSurplusClients {
+	reports.await(2)
+	for i := range maxSurplusClients {
 		if code, _, _ := dialNode(t, addr).exchange(readyRequest); code != 200 {
 			t.Error(code)
 		}
+		reports.await(3 + i)
 	}
+	reports.release(2)
 	if _, err := oldest.reader.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("the oldest idle connection: %v", err)
 	}
+	reports.releaseAll()
 	waitUntil(n, func() bool { return !n.exceedsDescriptorLimit(0) })
 	close(release)
 	if code, _, _ := busy.readAnswer(); code != 200 {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,68 @@
 	})
 }
 
+// heldReports holds reports of a node until they are released.
+type heldReports struct {
+	mutex    sync.Mutex
+	held     []chan struct{} // in the order in which the reports were made
+	released bool            // later reports are not held
+}
+
+// holdReports holds the node's reports of one kind until they are released or the test ends.
+func holdReports(t *testing.T, n *Node, held reportKind) *heldReports {
+	t.Helper()
+	h := &heldReports{}
+	setReportDelay(n, func(kind reportKind) time.Duration {
+		if kind == held {
+			h.hold()
+		}
+		return 0
+	})
+	t.Cleanup(h.releaseAll)
+	return h
+}
+
+// hold returns once the report of its caller is released.
+func (h *heldReports) hold() {
+	h.mutex.Lock()
+	if h.released {
+		h.mutex.Unlock()
+		return
+	}
+	release := make(chan struct{})
+	h.held = append(h.held, release)
+	h.mutex.Unlock()
+	<-release
+}
+
+// await waits until the given number of reports are held.
+func (h *heldReports) await(count int) {
+	for held := 0; held < count; runtime.Gosched() {
+		h.mutex.Lock()
+		held = len(h.held)
+		h.mutex.Unlock()
+	}
+}
+
+// release releases the oldest held reports, as many as given.
+func (h *heldReports) release(count int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, release := range h.held[:count] {
+		close(release)
+	}
+	h.held = h.held[count:]
+}
+
+// releaseAll releases all held reports and holds no later ones.
+func (h *heldReports) releaseAll() {
+	h.mutex.Lock()
+	h.released = true
+	held := len(h.held)
+	h.mutex.Unlock()
+	h.release(held)
+}
+
 func TestMain(m *testing.M) {
 	if err := ConfigurePoller(io.Discard); err != nil {
 		panic(err)
