Queue no waiter of the poller's barrier whose byte was not written

A caller whose write to the barrier's pipe failed left its waiter in the queue. The byte of a later caller would then release that waiter in place of its own, and the later caller would wait for barrierTimeout and fail, which closes a client's connection as not detachable. Found by reading; TestFailedBarrierLeavesNoWaiter was red (1 waiter left). The waiter is now queued after its byte is written, under the lock that the reader of the byte takes.

--- a/internal/node/pollerbarrier.go
+++ b/internal/node/pollerbarrier.go
@@ -38,11 +38,13 @@
 			return err
 		}
 	}
-	b.waiters = append(b.waiters, passed)
 	_, err := b.pipe.Write([]byte{0})
+	if err == nil { // onBytes, which takes the waiter for the byte, waits for the lock
+		b.waiters = append(b.waiters, passed)
+	}
 	b.mu.Unlock()
 	if err != nil {
-		return err
+		return fmt.Errorf("write to the poller's pipe: %w", err)
 	}
 	timeout := time.NewTimer(barrierTimeout)
 	defer timeout.Stop()
