Log a hot restart that fails because the state was not exported in time

A predecessor that could not export its state within the limit said nothing: its successor started with a listener and a state of its own, and the log of neither said why. Found by reading. TestFailedExportIsLogged plays a node whose event loop does not run; without the line it waits for it in vain.

--- a/internal/daemon/hotrestart.go
+++ b/internal/daemon/hotrestart.go
@@ -121,6 +121,7 @@
 func (p *predecessorRole) ExportHandoff() (body []byte, descriptor int, err error) {
 	state, err := p.exportState()
 	if err != nil {
+		p.log.Warn("handoff failed", "err", err)
 		return nil, noDescriptor, err
 	}
 	body, err = jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(handoffState{state, p.admin.SeenTokens()})
--- a/internal/daemon/sharedlistener_test.go
+++ b/internal/daemon/sharedlistener_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"tulipglade/internal/node"
 )
 
 // listeningInode returns the inode of the socket that listens at an IPv4 address.
@@ -75,3 +78,18 @@
 	}
 	successor.stop(t)
 }
+
+// TestFailedExportIsLogged guards against a hot restart that fails without a trace in the predecessor's log.
+func TestFailedExportIsLogged(t *testing.T) {
+	t.Parallel()
+	log := make(logLines, 10)
+	stuck, err := node.New(parseConfig(t, validConfig).Node, nil, log.logger()) // its event loop does not run
+	if err != nil {
+		t.Fatal(err)
+	}
+	role := &predecessorRole{node: stuck, log: log.logger()}
+	if _, _, err := role.ExportHandoff(); !errors.Is(err, errExportTimeout) {
+		t.Error(err)
+	}
+	log.await(t, "handoff failed")
+}
