Have clients of the soak stop reading in the middle of an answer

The soak had no client that leaves its answers unread for longer than the 10 s of a write's timeout, so it found neither the process that such a client ends nor the shutdown that it delays. Three clients at every third node now read one answer (a small one, one to an upload, a download), then request 8 MiB and read nothing for 11 s, again and again until the end of a run.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -176,6 +176,10 @@
 
 // writeAnswer sends the answer to a request, one in piecesOneIn of them in two pieces.
 func writeAnswer(w http.ResponseWriter, id string) {
+	if size := answerBytes(id); size > 0 {
+		_, _ = w.Write(make([]byte, size)) // fails once the node has given up
+		return
+	}
 	answer := expectedAnswer(id)
 	if rand.IntN(piecesOneIn) == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,6 +107,7 @@
 	r.clients.Go(func() { r.ownDelays.watch(r) })
 	r.startClients()
 	r.startIdleConnections()
+	r.startUnreadClients()
 	plan := drawSchedule(options)
 	for _, fault := range plan {
 		r.faultsInProgress.Go(func() { r.injectFault(fault) })
