Date the soak's records by the kernel, and leave out the time in which the test did not run

At load 15, with no such stop, attempts counted as up to 0.7 s late while the process had been late by 0.163 s at most: a request passes several goroutines before it is recorded, and each waits for a processor, so the longest single delay does not bound the delay of a record.

Cause: arrivals at backends were dated when a handler ran, and an answer counted as missing if the client's goroutine came to read it after the limit, although the kernel had it. A process counted as not ended in time when the test saw its end late.

Now an arrival is dated by what the kernel says of the last data on its connection (TCP_INFO), less one tick of its clock; a client whose limit has passed reads an answer that the kernel had received in time; and of the time of a shutdown only that is left out in which the test did not run by its own measure. Each allowance is that of the one record. The limits are as before, and the checks are stricter where the test runs on time: slack that the dates no longer need was not added anywhere.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -71,7 +71,7 @@
 // serve answers the requests of one node that arrive at the listener.
 func (b *backend) serve(node int, listener net.Listener) {
 	handler := func(w http.ResponseWriter, r *http.Request) { b.handle(node, w, r) }
-	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(handler)}
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(handler), ConnContext: withConn}
 	b.listeners[node].server = server
 	go func() { _ = server.Serve(listener) }() // returns an error when the backend crashes or closes
 }
@@ -127,7 +127,7 @@
 // handle records the arrival of a request and answers it as the backend's condition demands.
 func (b *backend) handle(node int, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Trace-Id")
-	a := &arrival{at: b.run.now(), node: node, backend: b.index, announced: announcedTimeout(r)}
+	a := &arrival{at: b.run.now() - requestAge(r), node: node, backend: b.index, announced: announcedTimeout(r)}
 	b.mu.Lock()
 	condition, recovered := b.condition, b.recovered
 	b.mu.Unlock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -222,12 +222,25 @@
 	return a
 }
 
+// exceededShutdown reports whether a process had not exited within shutdownLimit after SIGTERM. Time in which this
+// process did not run does not count: it saw the exit later than that, and may have sent SIGKILL to a process that had
+// exited.
+func (n *node) exceededShutdown(p incarnation) bool {
+	if p.terminatedAt == 0 {
+		return false
+	}
+	took := func(end time.Duration) time.Duration {
+		return end - p.terminatedAt - n.run.ownDelays.within(p.terminatedAt, end)
+	}
+	return p.killedAt > 0 && took(p.killedAt) > shutdownLimit-shortestOwnDelay || took(p.exitedAt) > shutdownLimit+schedulingDelay
+}
+
 // check checks that the node's processes became ready and exited in time, did not crash, and logged no forbidden text.
 func (n *node) check(res *Result) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i, p := range n.incarnations {
-		if p.terminatedAt > 0 && (p.killedAt > 0 || p.exitedAt-p.terminatedAt > shutdownLimit+schedulingDelay) {
+		if n.exceededShutdown(p) {
 			res.addViolation("stop: process %d of node %d got SIGTERM at %.3f and had not exited %.3f s later (killed at %.3f)",
 				i, n.index, p.terminatedAt.Seconds(), shutdownLimit.Seconds(), p.killedAt.Seconds())
 		}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -112,6 +112,36 @@
 	}, "log of node 0"},
 }
 
+// TestCheckCountsOwnDelay guards against a process that is reported for the time in which the test did not run, and
+// against a delay at another time that excuses it.
+func TestCheckCountsOwnDelay(t *testing.T) {
+	const terminatedAt, delay = 5 * time.Second, time.Second
+	for name, test := range map[string]struct {
+		delayFrom, endedAfter time.Duration
+		killed                bool
+		want                  int
+	}{
+		"seen late":           {terminatedAt + time.Second, shutdownLimit + delay, false, 0},
+		"delay before":        {terminatedAt - delay, shutdownLimit + delay, false, 1},
+		"killed too early":    {terminatedAt + time.Second, shutdownLimit, true, 0},
+		"killed in time":      {terminatedAt + time.Second, shutdownLimit + delay, true, 1},
+		"killed, delay after": {terminatedAt + shutdownLimit, shutdownLimit, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCheckedRun()
+			r.ownDelays.record(ownDelay{test.delayFrom, test.delayFrom + delay})
+			p := &r.nodes[0].incarnations[0]
+			p.terminatedAt, p.exitedAt = terminatedAt, terminatedAt+test.endedAfter
+			if test.killed {
+				p.killedAt = p.exitedAt
+			}
+			if broken := r.check(nil).Violations; len(broken) != test.want {
+				t.Errorf("want %d violations, have %q", test.want, broken)
+			}
+		})
+	}
+}
+
 func TestCheckReportsViolations(t *testing.T) {
 	for _, test := range violationCases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -18,6 +18,7 @@
 	answerGrace       = 500 * time.Millisecond // time after the deadline in which a late answer may still arrive
 	disconnectOneIn   = 20                     // requests whose client disconnects before the answer arrives
 	idleOneIn         = 40
+	lateReadTimeout   = 100 * time.Millisecond // for what the kernel has received already
 	maxIdleTime       = 3 * time.Second
 	shortestPauseMs   = 5
 	pauseSpreadMs     = 50
@@ -110,8 +111,7 @@
 			return
 		}
 	}
-	// This fails only on closed connections.
-	_ = c.conn.SetReadDeadline(time.Now().Add(class.deadline + answerGrace + 2*schedulingDelay))
+	c.awaitAnswer(time.Now().Add(class.deadline + answerGrace + 2*schedulingDelay))
 	c.receive(q)
 }
 
@@ -150,6 +150,19 @@
 	c.run.record.finish(q, result, c.run.now())
 }
 
+// awaitAnswer sets the time limit of the answer, and waits for its first byte. If this process runs so late that the
+// limit has passed before it looks, an answer that the kernel received in time may still be read.
+func (c *client) awaitAnswer(limit time.Time) {
+	_ = c.conn.SetReadDeadline(limit) // this and the call below fail only on closed connections
+	if _, err := c.reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+	if _, err := c.reader.Peek(1); err != nil || time.Now().Add(-dataAge(c.conn)).After(limit) {
+		_ = c.conn.SetReadDeadline(limit) // there is no answer, or it is late
+	}
+}
+
 // receive reads the answer to a request, records the outcome, and closes the connection if it cannot be used again.
 func (c *client) receive(q *request) {
 	received, err := readAnswer(c.reader)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -24,7 +24,7 @@
 
 // arrival records that the head of a request arrived at a backend.
 type arrival struct {
-	at            time.Duration
+	at            time.Duration // when the kernel had received it, however late this process has recorded it
 	node, backend int
 	announced     time.Duration // timeout that the node announced; negative if it announced none
 	attemptRan    bool          // whether the backend ran the request
