Repeat a broken call to discovery soon where there are few nodes

What callers saw: requests at a removed backend 0.83 s after its removal counted as notified, in TestSoakWithVariedLists/3: four calls of one node in a row, over 7.2 s, were broken while discovery answered other nodes.

Cause: after a failed call the backoff doubles up to 3 s, so four resets in a row were enough to go without an answer for longer than the 6 s after which a change counts. Two failed calls over 2 s count as an outage, for which the list stays in use.

Weighed first, and measured: that only calls without a connection extend the lease, as a call that was accepted has reached discovery. It is not taken; a node can not tell broken calls from such an outage by their kind, only by their number.

Mend: with a lease, a call that was broken at once is repeated within 0.6 s, or as soon as the spread over the fleet's nodes allows, as it already was before the first answer. An outage then shows in many calls, and an answer that can be had is fetched in time. All forms now also count a removal as notified 6 s after it began, whatever was written.

Open: fleets of over some 30 nodes spread their calls as before, and calls that discovery holds for a second or more before they fail keep their longer backoff, so there a row of broken calls can still pass for an outage.

--- a/cmd/tulipglade/list_forms_test.go
+++ b/cmd/tulipglade/list_forms_test.go
@@ -102,6 +102,7 @@
 	{name: "one-terminated-without-length", responses: []string{incrementalList(6, formatEntry(terminated, "b"))}, customHead: noLengthHead, answersEachCall: true, removedUIDs: "b"},
 	{name: "cut-short", responses: []string{fullList(6)}, customHead: excessLengthHead, answersEachCall: true, removalDelay: notificationTimeout, removedUIDs: "abc"},
 	{name: "empty-after-a-reset", responses: []string{"", fullList(6)}, removedUIDs: "abc"},
+	{name: "empty-after-seven-resets", responses: []string{"", "", "", "", "", "", "", fullList(6)}, removedUIDs: "abc"},
 	{name: "null", responses: []string{`{"rev":6,"all":true,"targets":null}`}, removedUIDs: "abc"},
 	{name: "no-targets", responses: []string{`{"rev":6,"all":true}`}, removedUIDs: "abc"},
 	{name: "all-terminated", responses: []string{fullList(6, allEntries(terminated)...)}, removedUIDs: "abc"},
@@ -148,6 +149,7 @@
 	mutex          sync.Mutex
 	removalStarted chan struct{} // closed when the removal begins
 	restored       chan struct{} // closed when all backends are in service again
+	removedAt      time.Time     // when the removal began
 	responseCount  int           // responses begun since the removal
 	firstWrittenAt time.Time     // when the last of the form's responses was written for the first time
 }
@@ -156,6 +158,7 @@
 func (d *listFormDiscovery) startRemoval() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.removedAt = time.Now()
 	close(d.removalStarted)
 }
 
@@ -186,10 +189,12 @@
 }
 
 // pastGrace reports whether the removal grace has passed, so that a removed backend must not receive requests any more.
+// The grace begins when the removal counts as notified: once it was written, or notificationTimeout after it began.
 func (d *listFormDiscovery) pastGrace() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return !d.firstWrittenAt.IsZero() && time.Since(d.firstWrittenAt) > d.form.removalDelay+removalGrace
+	written := !d.firstWrittenAt.IsZero() && time.Since(d.firstWrittenAt) > d.form.removalDelay+removalGrace
+	return written || !d.removedAt.IsZero() && time.Since(d.removedAt) > notificationTimeout+removalGrace
 }
 
 // handler returns the handler of one of discovery's addresses. servesRemoval is set for the address that is configured
--- a/internal/balancer/poll_test.go
+++ b/internal/balancer/poll_test.go
@@ -173,6 +173,8 @@
 	cfg.PeerCount, cfg.PollInterval = 1024, 10*second
 	leased := cfg
 	leased.ListLease = NotificationDeadline
+	few := leased
+	few.PeerCount = 6
 	for _, test := range []struct {
 		name string
 		cfg  Config
@@ -183,8 +185,11 @@
 		{"timed out", cfg, ListTimeout, 0.6 * second},
 		{"overloaded", cfg, ListOverloaded, 10 * second * 1023 / 160.0},
 		{"overloaded, with a lease", leased, ListOverloaded, 3 * second},
+		{"failed, with a lease", leased, ListFailed, 3 * second},
+		{"failed, with a lease and few nodes", few, ListFailed, 0.6 * second},
 	} {
 		node := startNode(t, test.cfg, testEndpoints(2)...)
+		node.balancer.HandleEndpointsAsOf(node.now, node.now, ListDelta, nil) // the list is confirmed
 		if got := node.balancer.maxBackoff(test.kind); got < test.want-1 || got > test.want+1 {
 			t.Errorf("%s: %g us, want %g", test.name, got, test.want)
 		}
