End the watch of discovery with the node

In a process that serves nobody sees it, as it exits; a process that goes on after Serve has returned keeps calling.

Cause: Serve never ended its watch. With pushed lists the loop runs for ever, and also with asked ones it went on for some calls. When the address of discovery is given to another listener, that one gets the calls of a node that is gone.

Mend: watch.Stop aborts the call in flight and lets none begin; Serve calls it at its end, however it ends.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -131,6 +131,7 @@
 // createNode creates the watch of discovery and the node, which use each other.
 func (s *server) createNode() error {
 	s.watch = newWatch(s.config.Discovery, s.endpoints.Revision, s.log)
+	s.onClose(s.watch.Stop)
 	newNode, err := node.New(s.settings, s.watch, s.log)
 	if err != nil {
 		return err
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -52,6 +52,8 @@
 	watchRequested      bool      // the argument of the last call of Watch; a failure does not reset it
 	lastCallStart       time.Time // when the latest call was scheduled to start
 	consecutiveTimeouts int       // number of calls in a row that did not wait for events and timed out
+
+	stopped chan struct{} // closed by Stop
 }
 
 func newWatch(address string, revision int64, log *slog.Logger) *watch {
@@ -62,6 +64,7 @@
 		revisions:         staleness.NewRevisionTracker(revision),
 		startedAt:         time.Now(),
 		addressChanged:    make(chan struct{}),
+		stopped:           make(chan struct{}),
 		maxWait:           maxWatchWait,
 		callTimeout:       immediateCallTimeout,
 		queueingThreshold: queueingThreshold,
@@ -103,8 +106,8 @@
 
 // setActive sets active, and starts the goroutine of run if it is needed. The caller holds w.mutex.
 func (w *watch) setActive(active bool) {
-	w.active = active
-	if active && !w.loopRunning {
+	w.active = active && !w.isStopped()
+	if w.active && !w.loopRunning {
 		w.loopRunning = true
 		go w.run()
 	}
@@ -115,7 +118,7 @@
 func (w *watch) SetAddress(address string) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if address == w.address {
+	if address == w.address || w.isStopped() {
 		return
 	}
 	w.address, w.needsFullList = address, true
@@ -127,6 +130,38 @@
 	}
 }
 
+// Stop ends all calls for good: the one in flight is aborted, and none begins after it.
+func (w *watch) Stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.isStopped() {
+		return
+	}
+	close(w.stopped)
+	w.active = false
+	close(w.addressChanged) // aborts the call in flight
+}
+
+// isStopped reports whether Stop has been called.
+func (w *watch) isStopped() bool {
+	select {
+	case <-w.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits for the delay before a call. It returns false if Stop is called meanwhile.
+func (w *watch) pause(delay time.Duration) bool {
+	select {
+	case <-time.After(max(delay, 0)):
+		return !w.isStopped()
+	case <-w.stopped:
+		return false
+	}
+}
+
 // Poll fetches the full list once, in the background. It repeats the call if the address changes meanwhile.
 func (w *watch) Poll() {
 	go func() {
@@ -146,7 +181,7 @@
 	start := time.Now()
 	received, err := connection.roundTrip(protocol.AppendListRequest(nil, connection.address), timeout)
 	if errors.Is(err, errAddressChanged) {
-		return false
+		return w.isStopped()
 	}
 	w.notifyListener(callResult{address: connection.address, answer: received, err: err, start: start})
 	return true
--- a/internal/daemon/watch_loop.go
+++ b/internal/daemon/watch_loop.go
@@ -31,11 +31,16 @@
 			return
 		}
 		connection = next.connection
-		time.Sleep(next.delay)
+		if !w.pause(next.delay) {
+			return
+		}
 		result := next.execute()
 		result.err = w.classify(result)
 		w.calls.record(result, next.revision)
 		if errors.Is(result.err, errAddressChanged) {
+			if w.isStopped() {
+				return
+			}
 			go w.finishAbandonedCall(connection)
 			connection = &discoveryConn{}
 			continue
--- a/internal/daemon/watch_push_test.go
+++ b/internal/daemon/watch_push_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -133,3 +134,30 @@
 		t.Error(err)
 	}
 }
+
+// TestStoppedNodeCallsDiscoveryNoMore guards against a watch that goes on after its node has stopped: its calls would
+// reach whoever gets the port of discovery next.
+func TestStoppedNodeCallsDiscoveryNoMore(t *testing.T) {
+	for _, mode := range []string{"push", "ask"} {
+		t.Run(mode, func(t *testing.T) {
+			var calls atomic.Int32
+			discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				respond(w, `{"rev":9000,"all":false,"targets":[]}`) // at once, so that the next call follows soon
+			}))
+			defer discovery.Close()
+			process, _, _ := startTestProcess(t, strings.NewReplacer(
+				`"ask"`, `"`+mode+`"`, "127.0.0.1:8500", discovery.Listener.Addr().String()).Replace(validConfig))
+			for end := time.Now().Add(testTimeout); calls.Load() < 2 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			process.stop(t)
+			time.Sleep(2 * minCallInterval) // for the call that was in flight
+			stoppedAt := calls.Load()
+			time.Sleep(5 * minCallInterval)
+			if later := calls.Load() - stoppedAt; stoppedAt < 2 || later > 0 {
+				t.Errorf("%d calls until the node stopped, %d after that", stoppedAt, later)
+			}
+		})
+	}
+}
