--- a/internal/daemon/hotrestart_test.go
+++ b/internal/daemon/hotrestart_test.go
@@ -217,15 +217,22 @@
 	return discovery
 }
 
-// Guards against a hot restart that leaves no serving process: if the successor receives the handoff and then fails to
-// start, the predecessor continues to accept and serve. The handoff includes the endpoint list with its revision.
-func TestPredecessorServesOnAfterFailedHotRestart(t *testing.T) {
+// hotRestartConfig returns the configuration of a node that takes part in hot restarts, with a backend and a discovery
+// service that reports no changes.
+func hotRestartConfig(t *testing.T) string {
+	t.Helper()
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { respond(w, "served") }))
-	defer backend.Close()
-	text := strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"",
+	t.Cleanup(backend.Close)
+	t.Setenv("TMPDIR", t.TempDir())
+	return strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"",
 		"127.0.0.1:8500", startIdleDiscovery(t).Listener.Addr().String(),
 		`"listen"`, `"operator":"127.0.0.1:0","listen"`).Replace(validConfig)
-	t.Setenv("TMPDIR", t.TempDir())
+}
+
+// Guards against a hot restart that leaves no serving process: if the successor receives the handoff and then fails to
+// start, the predecessor continues to accept and serve. The handoff includes the endpoint list with its revision.
+func TestPredecessorServesOnAfterFailedHotRestart(t *testing.T) {
+	text := hotRestartConfig(t)
 	process, address, admin := startTestProcess(t, text)
 	broken := strings.Replace(text, `"operator":"127.0.0.1:0"`, `"operator":"`+admin+`"`, 1) // already in use
 	config := parseConfig(t, strings.Replace(broken, `"rev":41`, `"rev":7`, 1))
--- a/internal/daemon/sharedlistener_test.go
+++ b/internal/daemon/sharedlistener_test.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -62,12 +60,7 @@
 // TestStoppedPredecessorLeavesPoller guards against a poller that goes on to report the events of a closed listener,
 // because the successor shares its socket: what it then does with the number concerns another descriptor.
 func TestStoppedPredecessorLeavesPoller(t *testing.T) {
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { respond(w, "served") }))
-	defer backend.Close()
-	text := strings.NewReplacer("127.0.0.1:1\"", backend.Listener.Addr().String()+"\"",
-		"127.0.0.1:8500", startIdleDiscovery(t).Listener.Addr().String(),
-		`"listen"`, `"operator":"127.0.0.1:0","listen"`).Replace(validConfig)
-	t.Setenv("TMPDIR", t.TempDir())
+	text := hotRestartConfig(t)
 	process, address, _ := startTestProcess(t, text)
 	inode := listeningInode(t, address)
 	successor, _, _ := startTestProcess(t, text)
