--- a/internal/simulation/emulator/backend.go
+++ b/internal/simulation/emulator/backend.go
@@ -10,14 +10,14 @@
 
 // Kinds of a backend's events.
 const (
-	backendArrival         = iota // P: the attempt
-	backendCompletion             // A: the completionGeneration that scheduled it; outdated ones are ignored
-	backendCancellation           // P: the attempt
-	backendWarmUpTick             // P: the incarnation; capacity grows during slow start
+	backendArrival         = iota // Payload: the attempt
+	backendCompletion             // Argument: the completionGeneration that scheduled it; outdated ones are ignored
+	backendCancellation           // Payload: the attempt
+	backendWarmUpTick             // Payload: the incarnation; capacity grows during slow start
 	backendReportMeasured         // the next load report is measured
 	backendReportPublished        // the measured load report becomes visible
-	backendOverloadDue            // A: the longQueueSince that scheduled it; overload begins if it still holds
-	backendRecoveryDue            // A: the lowLoadSince, or minus the overloadedAt, that scheduled it; overload ends
+	backendOverloadDue            // Argument: the longQueueSince that scheduled it; overload begins if it still holds
+	backendRecoveryDue            // Argument: the lowLoadSince, or minus the overloadedAt, that scheduled it; overload ends
 )
 
 // backendIncarnation is one process of a backend; a restart creates another.
--- a/internal/simulation/emulator/client.go
+++ b/internal/simulation/emulator/client.go
@@ -13,14 +13,14 @@
 // Kinds of the clients' events. The kind of an answer is clientAnswered plus its invariant.Final.
 const (
 	clientCallDue          = iota // the next call is due
-	clientAnswered                // P: the request; A: Retry-After, µs. This and the next two are in the order of invariant.Final
+	clientAnswered                // Payload: the request; Argument: Retry-After, µs. This and the next two are in the order of invariant.Final
 	clientRejected                // as above
 	clientFailed                  // as above
-	clientTimedOut                // P: the request, which the client gives up
-	clientNodeUnreachable         // P: the request, which never ran because its node does not run
-	clientConnectionBroken        // P: the request, whose node stopped while it had it
-	clientRetryDue                // P: the call, whose next request is due
-	clientCancels                 // P: the request, which the client cancels
+	clientTimedOut                // Payload: the request, which the client gives up
+	clientNodeUnreachable         // Payload: the request, which never ran because its node does not run
+	clientConnectionBroken        // Payload: the request, whose node stopped while it had it
+	clientRetryDue                // Payload: the call, whose next request is due
+	clientCancels                 // Payload: the request, which the client cancels
 )
 
 // call is what a client wants answered; it may take several requests.
--- a/internal/simulation/emulator/discovery.go
+++ b/internal/simulation/emulator/discovery.go
@@ -7,9 +7,9 @@
 
 // Kinds of discovery's events.
 const (
-	discoveryChangeDetected = iota // P: the change that discovery learns of
-	discoveryCallServed            // P: the call, which is answered now
-	discoveryWatchNotified         // P: the node that is sent a watch event
+	discoveryChangeDetected = iota // Payload: the change that discovery learns of
+	discoveryCallServed            // Payload: the call, which is answered now
+	discoveryWatchNotified         // Payload: the node that is sent a watch event
 )
 
 // listChange is one change of the endpoint list.
--- a/internal/simulation/emulator/faults.go
+++ b/internal/simulation/emulator/faults.go
@@ -11,11 +11,11 @@
 
 // Kinds of the faults' events.
 const (
-	faultStart            = iota // A: the fault's index
-	faultEnd                     // A: the fault's index
+	faultStart            = iota // Argument: the fault's index
+	faultEnd                     // Argument: the fault's index
 	faultConnectionsReset        // connections whose messages a partition dropped are reset
-	faultDrainDeadline           // A: the backend's ID; P: its incarnation, which is stopped if it still drains
-	faultNodeDownDetected        // P: the node that the frontend finds down, unless it runs again
+	faultDrainDeadline           // Argument: the backend's ID; Payload: its incarnation, which is stopped if it still drains
+	faultNodeDownDetected        // Payload: the node that the frontend finds down, unless it runs again
 )
 
 // Faults returns the faults that the scenario plays with that seed, with all defaults applied.
--- a/internal/simulation/emulator/node.go
+++ b/internal/simulation/emulator/node.go
@@ -10,16 +10,16 @@
 
 // Kinds of a node's events.
 const (
-	nodeRequest        = iota // P: the request, from its client
-	nodeReply                 // P: the attempt; A: its balancer.Outcome
-	nodeTimeout               // P: the attempt, which ends without an answer; A: its balancer.Outcome
-	nodeTimer                 // P: the nodeIncarnation that set the timer; A: its balancer.TimerID
-	nodeClientCanceled        // P: the request
-	nodeListMessage           // P: the listMessage
-	nodeDatagram              // P: the datagram
-	nodeIdleSweep             // P: the connectionPool whose connections may have been idle too long
+	nodeRequest        = iota // Payload: the request, from its client
+	nodeReply                 // Payload: the attempt; Argument: its balancer.Outcome
+	nodeTimeout               // Payload: the attempt, which ends without an answer; Argument: its balancer.Outcome
+	nodeTimer                 // Payload: the nodeIncarnation that set the timer; Argument: its balancer.TimerID
+	nodeClientCanceled        // Payload: the request
+	nodeListMessage           // Payload: the listMessage
+	nodeDatagram              // Payload: the datagram
+	nodeIdleSweep             // Payload: the connectionPool whose connections may have been idle too long
 	nodeReady                 // the frontend finds that the node runs
-	nodeHealthCheck           // P: the healthCheck, which has ended
+	nodeHealthCheck           // Payload: the healthCheck, which has ended
 )
 
 // nodeIncarnation is one process of a node.
