--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -78,8 +78,8 @@
 	case kind == ListTimeout || kind == ListInvalid:
 		return maxTimeoutBackoffFraction * deadline
 	case kind == ListFailed && b.listLease.CanExpire():
-		// The list ages until discovery answers, whether this call alone was broken or discovery is down. Where
-		// there are few nodes, their calls need not be spread over a long time.
+		// The list ages until discovery answers, whether this call alone was broken or discovery is down.
+		// Where there are few nodes, their calls need not be spread over a long time.
 		return min(max(maxTimeoutBackoffFraction*deadline, b.pollSpread()), maxBackoffFraction*deadline)
 	case kind == ListOverloaded && !b.listLease.CanExpire():
 		// If all nodes called earlier, discovery could not answer them in time.
