Add a review case: a node that ends resets requests as it answers them

Cause: a request that comes 0.7 s or more after SIGTERM is answered by answersDueBy at the latest. In the same turn of the event loop checkDrained finds answers in progress at that time and resets their connections, so that what finds a backend that hangs gets no answer at all.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -99,3 +100,11 @@
 }
 
 func (c *client) close() { _ = c.conn.Close() }
+
+// closedByNode reports whether the node has closed the connection.
+func (c *client) closedByNode() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.reader.Peek(1)
+	var timeout net.Error
+	return err != nil && (!errors.As(err, &timeout) || !timeout.Timeout())
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -38,6 +38,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*rig) (bool, error){
 	"second-answer": playSecondAnswer,
+	"restart":       playRestart,
 }
 
 func main() {
