Add a review case: a late message lets two hold a lease for one

Cause: a client repeats each call to the agents after 0.4 s. Calls that set the number of slots or a note carry nothing that orders them, so that a first attempt which arrives after a later call undoes it.

Change: review/3: three agents, a proxy before the one that leads, `lease slots job 2` whose first attempt is 1.5 s late, `lease slots job 1`, and two holders.

--- a/review/review_test.go
+++ b/review/review_test.go
@@ -16,7 +16,7 @@
 
 // TestReview plays the cases of the review. A case fails while the fault that it shows exists.
 func TestReview(t *testing.T) {
-	for _, name := range []string{"1", "2"} {
+	for _, name := range []string{"1", "2", "3"} {
 		t.Run(name, func(t *testing.T) {
 			if os.Getenv(casesVariable) == "" {
 				t.Skip("the cases are played only if " + casesVariable + " is set")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -38,10 +38,15 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*rig) (bool, error){
 	"second-answer": playSecondAnswer,
+	"late-slots":    playLateSlots,
 	"restart":       playRestart,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "work" {
+		work(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "rig: the arguments must be CASE ROOT RECORD")
 		os.Exit(exitCannotRun)
