--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -28,6 +28,8 @@
 	record *record
 	// serve answers a request on its connection, and returns false if the connection is to be closed.
 	serve func(b *backend, conn *backendConn, request received) bool
+	// wrap returns what takes the place of an accepted connection; nil: the connection itself.
+	wrap func(b *backend, accepted net.Conn) net.Conn
 
 	mutex sync.Mutex
 	busy  int // requests in work
@@ -51,6 +53,9 @@
 			if err != nil {
 				return
 			}
+			if b.wrap != nil {
+				accepted = b.wrap(b, accepted)
+			}
 			conn := &backendConn{ReadWriteCloser: accepted}
 			if delay > 0 {
 				conn.ReadWriteCloser = newLink(accepted, delay)
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"net"
 	"time"
 )
 
@@ -18,6 +20,10 @@
 	backends, nodes int
 	// serve works on a request and answers it. It returns false if the connection is to be closed.
 	serve func(b *backend, conn *backendConn, request received) bool
+	// wrap returns what takes the place of a connection that a backend has accepted; nil: the connection itself.
+	wrap     func(b *backend, accepted net.Conn) net.Conn
+	memoryMB int  // memory of each node; 0: nodeMemoryMB
+	near     bool // the network between the zones takes no time
 }
 
 // nodeMemoryMB is the memory of a node on scored days.
@@ -33,6 +39,7 @@
 			zone:   i % len(zones),
 			record: r.record,
 			serve:  options.serve,
+			wrap:   options.wrap,
 		})
 	}
 	for i := range options.nodes {
@@ -40,7 +47,7 @@
 		zone := i % len(zones)
 		for number, b := range backends {
 			delay := crossZoneDelay
-			if b.zone == zone {
+			if b.zone == zone || options.near {
 				delay = 0
 			}
 			address, err := b.listen(delay)
@@ -57,7 +64,7 @@
 			return nil, err
 		}
 		n, err := r.startNode(nodeOptions{
-			discovery: discovery, known: known, memoryMB: nodeMemoryMB, index: i, count: options.nodes, zone: zone, site: options.site,
+			discovery: discovery, known: known, memoryMB: cmp.Or(options.memoryMB, nodeMemoryMB), index: i, count: options.nodes, zone: zone, site: options.site,
 		})
 		if err != nil {
 			return nil, err
