Add a review case: a long answer that a backend writes slowly is cut off

Cause: an answer without a stated length counts as long only from 77,824 bytes on, so a first piece of 70,000 bytes is held back until the request has failed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,6 +40,7 @@
 	"second-answer": playSecondAnswer,
 	"late-slots":    playLateSlots,
 	"restart":       playRestart,
+	"slow-answer":   playSlowAnswer,
 }
 
 func main() {
