Show that input behind a long request is dropped and the next body altered

Cause: when the forwarding of a long request ends, what has been read behind it is put into one buffer, and what does not fit is dropped without a sign.

Change: further-1 has clients send a read and five rides, one of them long, in two bursts, and judges whether each runs with its own body and has an answer.

--- a/review/review_test.go
+++ b/review/review_test.go
@@ -17,7 +17,7 @@
 // TestReview plays the cases of the review, and those of an earlier one. A case fails while the fault that it shows
 // exists.
 func TestReview(t *testing.T) {
-	for _, name := range []string{"3", "2", "1", "earlier-1", "earlier-2", "earlier-3"} {
+	for _, name := range []string{"1", "2", "3", "further-1", "earlier-1", "earlier-2", "earlier-3"} {
 		t.Run(name, func(t *testing.T) {
 			if os.Getenv(casesVariable) == "" {
 				t.Skip("the cases are played only if " + casesVariable + " is set")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,6 +40,7 @@
 	"second-answer": playSecondAnswer,
 	"late-slots":    playLateSlots,
 	"restart":       playRestart,
+	"burst":         playBurst,
 	"queue":         playQueue,
 	"hang":          playHang,
 	"slow-answer":   playSlowAnswer,
