--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# One node and six backends, one of which hangs; clients send long bodies. Takes about 30 s.
+# One node and six backends; every third answer is long and takes 2.5 s to write. Takes about 15 s.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/rig ] || { echo "run review/build.sh first"; exit 2; }
-exec ../bin/rig hang ../.. record.txt
+exec ../bin/rig slow-answer ../.. record.txt
--- a/review/earlier-1/run.sh
+++ b/review/further-2/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Three nodes and twelve backends; one answer in a hundred comes twice. Takes up to 95 s.
+# One node with 72 MB and six backends; 180 clients take 5 s to read long answers. Takes about 15 s.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/rig ] || { echo "run review/build.sh first"; exit 2; }
-exec ../bin/rig second-answer ../.. record.txt
+exec ../bin/rig queue ../.. record.txt
--- a/review/review_test.go
+++ b/review/review_test.go
@@ -14,10 +14,10 @@
 // build.sh build, and take up to two minutes each, so that they are no part of the default run.
 const casesVariable = "REVIEW_CASES"
 
-// TestReview plays the cases of the review, and those of an earlier one. A case fails while the fault that it shows
-// exists.
+// TestReview plays the cases of the review, and further faults that were shown and are no cases. Each fails while the
+// fault that it shows exists.
 func TestReview(t *testing.T) {
-	for _, name := range []string{"1", "2", "3", "further-1", "earlier-1", "earlier-2", "earlier-3"} {
+	for _, name := range []string{"1", "2", "3", "further-1", "further-2", "further-3", "further-4"} {
 		t.Run(name, func(t *testing.T) {
 			if os.Getenv(casesVariable) == "" {
 				t.Skip("the cases are played only if " + casesVariable + " is set")
--- a/review/rig/hang.go
+++ b/review/rig/hang.go
@@ -119,8 +119,8 @@
 	return h.unanswered > 0, nil
 }
 
-// client sends one request and waits for its answer until half a second after the time that it has stated. It then waits
-// on to record when the answer comes.
+// client sends one request and waits for its answer until half a second after the time that it has stated. Then it gives
+// up and closes its connection.
 func (h *hangRun) client() {
 	c, err := dialNode(h.address)
 	if err != nil {
@@ -144,9 +144,7 @@
 	if answered {
 		h.rig.record.add("answer %d to %s after %v", answer.status, request.trace, time.Since(started))
 	} else {
-		h.rig.record.say("%s has no answer %v after its last byte: %v", request.trace, time.Since(started)-written, err)
-		late, err := c.read(15 * time.Second)
-		h.rig.record.add("%s got answer %d, %q, after %v, error %v", request.trace, late.status, late.body, time.Since(started), err)
+		h.rig.record.say("%s has no answer %v after its last byte, and its client leaves: %v", request.trace, time.Since(started)-written, err)
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
