Let a connection to a backend rest for 10 ms after each answer

What callers saw: 200 with the body of another client's request, ride-start included, and from then on each client on that connection the answer to the request before. A foreign X-Never-Ran: 1 made the node send a request again that was running.

Cause: a backend may answer a second time some milliseconds late, and HTTP/1.1 ties an answer to its request by order alone. takeIdleConn spared a connection after an answer only while another was idle, or for 30 s after a duplicate of the same endpoint had been noticed; where the next request follows at once, it takes the duplicate, and nothing is noticed. Large answers and those to health checks did not count at all.

Change: no connection is reused within 10 ms of an answer of any kind. An attempt that finds only such connections waits for the first of them, as it did at endpoints known to send duplicates. The memory of such endpoints is gone. Input without a request is logged with the time since the last answer. Tests that set or observed that memory observe the connection instead; TestDuplicateAnswerIsDiscarded is stricter, as no endpoint is known beforehand.

Why it works: the duplicate arrives while no request is on the connection, or is in the kernel when takeIdleConn asks it, and the connection closes.

--- a/internal/node/accounting_test.go
+++ b/internal/node/accounting_test.go
@@ -317,13 +317,6 @@
 		})
 		defer stop()
 		module := newAccountingModule(n, fail)
-		if rapid.Bool().Draw(rt, "known to answer twice") {
-			runOnLoop(n, func() {
-				for _, ep := range n.endpoints {
-					ep.duplicatesExpectedUntil = noDeadline
-				}
-			})
-		}
 		var clients sync.WaitGroup
 		classes := make([]map[string]string, rapid.IntRange(1, 6).Draw(rt, "clients"))
 		for i := range classes {
--- a/internal/node/attempt_test.go
+++ b/internal/node/attempt_test.go
@@ -298,7 +298,6 @@
 			conn.readAnswer()
 			waitUntil(n, func() bool { return len(n.endpoints[1].idleConns) == 1 })
 			runOnLoop(n, func() { // the next attempt has to wait for this connection
-				n.endpoints[1].duplicatesExpectedUntil = noDeadline
 				n.endpoints[1].idleConns[0].lastAnswerAt = n.now() + 3_600_000_000
 			})
 			_, _ = io.WriteString(conn, requestText("once", 9000))
@@ -311,7 +310,6 @@
 				for _, b := range n.endpoints[1].idleConns { // the connection is reusable now
 					b.lastAnswerAt = 0
 				}
-				n.endpoints[1].duplicatesExpectedUntil = 0
 				n.serveWaiting(n.endpoints[1])
 			})
 			if code, body, _ := conn.readAnswer(); code != 200 || body != "body of /once" {
@@ -441,11 +439,17 @@
 	client.readAnswer()
 	// The next request must not need a dial, and is not written before the test resets testWriteDelay.
 	waitUntil(n, func() bool { return n.idleBackends.Len() == 1 && len(n.requests) == 0 })
-	runOnLoop(n, func() { n.testWriteDelay = 2 * maxWriteDelay })
+	runOnLoop(n, func() {
+		n.endpoints[1].idleConns[0].lastAnswerAt = 0 // reusable at once
+		n.testWriteDelay = 2 * maxWriteDelay
+	})
 	_, _ = io.WriteString(client, requestText("read", 9000))
 	waitUntil(n, func() bool { return len(n.requests) == 1 && n.requests[2].pendingAttempts == 1 })
 	writeOK(first, "not asked for")
-	waitUntil(n, func() bool { return n.endpoints[1].duplicatesExpectedUntil > 0 || len(n.requests) == 0 })
+	waitUntil(n, func() bool { // the input has been noticed
+		req := n.requests[2]
+		return req == nil || req.attempts[0].isCompleted()
+	})
 	runOnLoop(n, func() { n.testWriteDelay = 0 })
 	go func() {
 		second, _ := backend.acceptRequest()
--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -29,7 +29,7 @@
 	idleElement        *list.Element // in Node.idleBackends; nil: the connection is not idle
 	idleSince          int64         // when the connection last became idle
 	idleBeforeAttempt  int64         // idle time before the current attempt; 0: it has none, or this has been recorded
-	lastAnswerAt       int64         // when it last received the answer to a request, which a duplicate may follow
+	lastAnswerAt       int64         // when it last received an answer, which a duplicate may follow
 }
 
 // onInput is the poller's callback for input from the backend. It posts the input to the event loop.
@@ -53,7 +53,8 @@
 		return
 	}
 	if b.attempt == nil { // the backend has sent input without a request, which may be a duplicate answer
-		b.endpoint.duplicatesExpectedUntil = b.node.now() + observationLifetime
+		b.node.warnLimited("input from backend without a request", "endpoint", b.endpoint.address,
+			"after_answer_us", b.node.now()-b.lastAnswerAt)
 		b.node.closeBackendConn(b, closeUnexpectedInput)
 		b.node.dialForWaiting(b.endpoint)
 		return
@@ -139,14 +140,9 @@
 	n, att, buf, msg := b.node, b.attempt, b.input, b.message
 	n.recordIdleOutcome(b.idleBeforeAttempt, false)
 	b.idleBeforeAttempt = 0
-	if !att.isHealthCheck {
-		b.lastAnswerAt = n.now()
-	}
-	duplicate := unread || len(msg.Rest(buf.bytes())) > 0
-	if duplicate {
-		b.endpoint.duplicatesExpectedUntil = n.now() + observationLifetime
-	}
-	reusable := msg.KeepAlive && !b.peerEndedEarly && !duplicate
+	b.lastAnswerAt = n.now()
+	hasExcessInput := unread || len(msg.Rest(buf.bytes())) > 0
+	reusable := msg.KeepAlive && !b.peerEndedEarly && !hasExcessInput
 	b.attempt, b.input = nil, nil
 	switch {
 	case !reusable:
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -169,6 +169,7 @@
 	}
 	conn.usePollerConn(pollerConn)
 	conn.message = protocol.Message{}
+	conn.lastAnswerAt = n.now()
 	err = conn.initPollerConn(n.readBudget, func() { n.report(reportClosed, conn.connectionEnded) })
 	if err == nil {
 		err = pollerConn.SetOnRequest(conn.onInput)
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -2,12 +2,9 @@
 
 import "math"
 
-// reuseDelay is how long after an answer a connection is spared, which means not reused while another connection is
-// available, in microseconds. A backend that closes a connection does so right after its last answer, and a request
-// that crosses the close counts as one that may have run. Connections to an endpoint that has lately answered a
-// request twice are spared even if no other is available: duplicates arrive some milliseconds late, and the next
-// request would take a duplicate for its own answer. To spare all connections in that way at all times would cost far
-// more than it would save.
+// reuseDelay is how long after an answer a connection is not reused, in microseconds. A backend may send an answer a
+// second time some milliseconds later, and the next request would take that for its own answer. A backend that closes
+// a connection does so right after its last answer, and a request that crosses the close may have run.
 const reuseDelay = 10_000
 
 // Backends, or devices between them and the node, may close idle connections sooner than configured, and without
@@ -17,7 +14,7 @@
 	idleOutcomeDecay     = 0.95       // factor on the weight of earlier attempts with each new one
 	minIdleSamples       = 3          // number of attempts before a limit is derived from them
 	idleFailureThreshold = 0.35       // share of failed attempts that shows a limit; other reasons cause far fewer failures
-	observationLifetime  = 30_000_000 // how long a learned limit or an observed duplicate has an effect, in microseconds
+	observationLifetime  = 30_000_000 // how long a learned limit has an effect, in microseconds
 )
 
 // idleOutcome counts the attempts, and the failed ones among them, on connections that had been idle for about the
@@ -57,8 +54,6 @@
 	return limit
 }
 
-// mayReceiveDuplicate reports whether a duplicate of the last answer may still arrive on a connection, so that the
+// mayReceiveDuplicate reports whether a duplicate of the last answer may still arrive on the connection, so that the
 // next request on it might take the duplicate for its own answer.
-func (e *endpoint) mayReceiveDuplicate(conn *backendConn, now int64) bool {
-	return now < e.duplicatesExpectedUntil && now-conn.lastAnswerAt < reuseDelay
-}
+func (b *backendConn) mayReceiveDuplicate(now int64) bool { return now-b.lastAnswerAt < reuseDelay }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -51,32 +51,24 @@
 	e.waitingAttempts = slices.Insert(e.waitingAttempts, position, att)
 }
 
-// takeIdleConn removes an idle connection to an endpoint from the pool and returns it; nil if there is none. It
-// prefers the most recently used one that has been idle for reuseDelay, else takes the one that has been idle
-// longest. It skips connections on which a duplicate answer may follow, and closes those that can't be used any more.
+// takeIdleConn removes an idle connection to an endpoint from the pool and returns it; nil if none is reusable. It
+// prefers the one that has been idle for the shortest time. It skips connections on which a duplicate answer may
+// follow, and closes those that can't be used any more.
 func (n *Node) takeIdleConn(ep *endpoint) *backendConn {
 	now := n.now()
-	var candidate, fallback *backendConn
-	for i := len(ep.idleConns) - 1; i >= 0 && candidate == nil; i-- {
+	for i := len(ep.idleConns) - 1; i >= 0; i-- {
 		conn := ep.idleConns[i]
 		switch {
-		case ep.mayReceiveDuplicate(conn, now):
+		case conn.mayReceiveDuplicate(now):
 		case now-conn.idleSince >= n.idleLimit() || !conn.isOpenWithoutInput():
 			n.closeBackendConn(conn, closeUnusable) // idle for too long, closed, or with unsolicited input
-		case now-conn.idleSince < reuseDelay:
-			fallback = conn
 		default:
-			candidate = conn
+			conn.idleBeforeAttempt = now - conn.idleSince
+			n.setIdle(conn, false)
+			return conn
 		}
 	}
-	if candidate == nil {
-		candidate = fallback
-	}
-	if candidate != nil {
-		candidate.idleBeforeAttempt = now - candidate.idleSince
-		n.setIdle(candidate, false)
-	}
-	return candidate
+	return nil
 }
 
 // releaseConn returns a connection that carries no attempt to the pool, from which waiting attempts take it. The
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -1,8 +1,14 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,8 +18,8 @@
 )
 
 // A duplicate answer is not passed on as the answer to the next request. Guards against a failure in which a request
-// that followed within milliseconds got the second answer of a backend that answers twice, because a connection was
-// spared only while another was available.
+// that followed within milliseconds got the second answer of a backend that answers twice: connections were spared only
+// while another was available, or after a duplicate from the same backend had been noticed.
 func TestDuplicateAnswerIsDiscarded(t *testing.T) {
 	backend := newManualBackend(t, 0)
 	n, addr := startNode(t, backend.targets(), func(s *Settings) {
@@ -28,7 +34,6 @@
 	}
 	waitUntil(n, func() bool { return len(n.endpoints[1].idleConns) == 1 })
 	runOnLoop(n, func() {
-		n.endpoints[1].duplicatesExpectedUntil = noDeadline       // the backend has sent duplicates before
 		n.endpoints[1].idleConns[0].lastAnswerAt += 3_600_000_000 // not reusable for as long as this test takes
 	})
 	_, _ = io.WriteString(conn, requestText("once", 9000))
@@ -39,17 +44,15 @@
 	if code, body, _ := conn.readAnswer(); code != 200 || body != "two" {
 		t.Error(code, body)
 	}
-	runOnLoop(n, func() { n.endpoints[1].duplicatesExpectedUntil = 0 })
 	writeOK(second, "two again")
-	waitUntil(n, func() bool { return n.endpoints[1].duplicatesExpectedUntil > n.now() }) // the duplicate has been noticed
-	runOnLoop(n, func() { n.endpoints[1].duplicatesExpectedUntil = 0 })
+	waitUntil(n, func() bool { return len(n.endpoints[1].idleConns) == 0 }) // the duplicate has been noticed
 	_, _ = io.WriteString(conn, requestText("read", 9000))
 	third, _ := backend.acceptRequest()
 	_, _ = io.WriteString(third, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthreeHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	if code, body, _ := conn.readAnswer(); code != 200 || body != "three" {
 		t.Error(code, body)
 	}
-	waitUntil(n, func() bool { return n.endpoints[1].duplicatesExpectedUntil > n.now() }) // also a duplicate in the same read
+	waitUntil(n, func() bool { return n.endpoints[1].pendingDials == 0 && n.openDescriptors == 1 }) // also a duplicate in the same read
 }
 
 // Input that a backend sends without a request is not taken for the answer to the next request. That holds also if it
@@ -104,7 +107,6 @@
 		for _, one := range []*backendConn{long, short, fresh} {
 			since := one.idleSince
 			one.conn, one.node, one.endpoint, one.lastAnswerAt = b.conn, n, ep, one.idleSince
-			ep.duplicatesExpectedUntil = noDeadline
 			n.setIdle(one, true)
 			one.idleSince = since
 		}
@@ -201,3 +203,126 @@
 		t.Errorf("the next request: %d %q", code, body)
 	}
 }
+
+// A connection is spared after every answer, also after one that was too large to be buffered and after that of a
+// health check. Guards against a failure in which only complete answers to requests counted.
+func TestConnectionIsSparedAfterEachKindOfAnswer(t *testing.T) {
+	large := strings.Repeat("x", 3*protocol.MaxBody)
+	backend := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read" {
+			_, _ = io.WriteString(w, large)
+		}
+	})
+	n, addr := startNode(t, []protocol.Target{targetOf("a", backend)}, allowHealthChecks)
+	m := recordModule(n)
+	checkSpared := func(answer string) {
+		t.Helper()
+		waitUntil(n, func() bool { return len(n.endpoints[1].idleConns) == 1 })
+		runOnLoop(n, func() {
+			if conn := n.endpoints[1].idleConns[0]; !conn.mayReceiveDuplicate(conn.idleSince) {
+				t.Errorf("the connection is not spared after %s", answer)
+			}
+			n.endpoints[1].idleConns[0].lastAnswerAt = 0
+		})
+	}
+	if code, body, _ := dialNode(t, addr).exchange(requestText("read", 9000)); code != 200 || body != large {
+		t.Fatal(code, len(body))
+	}
+	checkSpared("a large answer")
+	runOnLoop(n, func() { n.CheckHealth(1) })
+	receiveNext(t, m.healthChecks)
+	checkSpared("the answer to a health check")
+}
+
+// maxSecondAnswerDelay is the longest time after which a secondAnswerBackend answers a second time.
+const maxSecondAnswerDelay = 8 * time.Millisecond
+
+// secondAnswerBackend answers each request with its trace ID, or rejects it before it has run, and sends some of these
+// answers a second time, some milliseconds late. It counts how often each request has run.
+type secondAnswerBackend struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// serve serves requests on a connection until it ends.
+func (b *secondAnswerBackend) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for count := 0; ; count++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		trace := request.Header.Get("X-Trace-Id")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(trace), trace)
+		if count%3 == 1 {
+			answer = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+		} else {
+			b.mu.Lock()
+			b.runs[trace]++
+			b.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, _ = io.WriteString(conn, answer)
+		if count%5 == 1 || count%5 == 3 {
+			answeredAt := time.Now()
+			time.AfterFunc(5*time.Millisecond, func() {
+				if time.Since(answeredAt) < maxSecondAnswerDelay { // else this process was held up
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+		}
+	}
+}
+
+// No request gets an answer that was made for another one, or runs twice, where backends answer a second time some
+// milliseconds late. Guards against a failure in which clients were served foreign answers, and a foreign rejection made
+// the node send a request again that was running.
+func TestLateSecondAnswersHarmNoRequest(t *testing.T) {
+	const clients, requestsPerClient = 8, 40
+	backend := &secondAnswerBackend{runs: map[string]int{}}
+	var targets []protocol.Target
+	for _, uid := range []string{"a", "b"} {
+		listener := newManualBackend(t, 0)
+		targets = append(targets, protocol.Target{UID: uid, Endpoint: listener.Addr().String(), Zone: "z", Weight: 1})
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go backend.serve(conn)
+			}
+		}()
+	}
+	_, addr := startNode(t, targets, nil)
+	var group sync.WaitGroup
+	for range clients {
+		client := dialNode(t, addr)
+		group.Go(func() {
+			for range requestsPerClient {
+				request := requestText("once", 9000)
+				if _, err := io.WriteString(client, request); err != nil {
+					return
+				}
+				answer, err := http.ReadResponse(client.reader, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body, _ := io.ReadAll(answer.Body)
+				_ = answer.Body.Close() // read to its end
+				if answer.StatusCode == http.StatusOK && !strings.Contains(request, "X-Trace-Id: "+string(body)+"\r\n") {
+					t.Errorf("a request got the answer to %s", body)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for trace, runs := range backend.runs {
+		if runs > 1 {
+			t.Errorf("%s ran %d times", trace, runs)
+		}
+	}
+}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -13,21 +13,20 @@
 
 // endpoint is an entry of the endpoint list, with the state of the connections to it. Its ID is never reused.
 type endpoint struct {
-	id                      balancer.EndpointID
-	address                 string
-	state                   protocol.State
-	bootMillis              int64  // start of its current process, in Unix milliseconds
-	zone                    string // zone, cell and weight are those that discovery states
-	cell                    int
-	weight                  float64
-	removedAt               int64 // when discovery reported its removal or left it off a full list; 0: it is listed
-	outOfServiceSince       int64 // when the node was first notified that it drains or is removed; 0: it is in service
-	duplicatesExpectedUntil int64 // until when the endpoint is assumed to answer requests twice
-	incarnation             int   // number of its current process: a connection to an earlier process is never reused
-	idleConns               []*backendConn
-	waitingAttempts         []*attempt // attempts that wait for a connection, in the order in which they will get one
-	pendingDials            int        // dials whose result the event loop has not processed
-	pendingHealthChecks     int        // health checks in flight
+	id                  balancer.EndpointID
+	address             string
+	state               protocol.State
+	bootMillis          int64  // start of its current process, in Unix milliseconds
+	zone                string // zone, cell and weight are those that discovery states
+	cell                int
+	weight              float64
+	removedAt           int64 // when discovery reported its removal or left it off a full list; 0: it is listed
+	outOfServiceSince   int64 // when the node was first notified that it drains or is removed; 0: it is in service
+	incarnation         int   // number of its current process: a connection to an earlier process is never reused
+	idleConns           []*backendConn
+	waitingAttempts     []*attempt // attempts that wait for a connection, in the order in which they will get one
+	pendingDials        int        // dials whose result the event loop has not processed
+	pendingHealthChecks int        // health checks in flight
 }
 
 // setDiscoveryState records the state that discovery reports for the endpoint, and since when no attempt may start
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -119,9 +119,6 @@
 		att.conn = nil
 		n.completeAttempt(att, balancer.OutcomeNotSent, nil)
 	}
-	if unsolicited {
-		conn.endpoint.duplicatesExpectedUntil = n.now() + observationLifetime
-	}
 	if conn.peerEndedEarly || unsolicited {
 		n.closeBackendConn(conn, closeUnusable)
 		n.dialForWaiting(conn.endpoint)
