Forward a large answer without a stated length from 64 KiB on

What callers saw: 504 to a ride-start that had run, although its backend had begun the answer after 80 ms with 70,000 bytes in chunks and gave the rest 2.5 s later.

Cause: parseAnswer recognized an answer without a stated length as large only once its buffer of 77,824 bytes was full. Until then all of it was held back, and the balancer failed the request at its time.

Change: an answer is large once its stated length, or what has been received of its body, is over 64 KiB (backendConn.answerIsLarge).

Why it works: any answer of over 64 KiB is forwarded from there on, whatever its framing. One of up to 64 KiB fits into the buffer in any case, head and framing included.

--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -117,7 +117,6 @@
 	n, att := b.node, b.attempt
 	size, complete, err := b.message.ParseResponse(b.input.bytes())
 	b.input.length = size
-	large := b.message.InBody() && (b.message.ContentLength() > protocol.MaxBody || size == protocol.BufferSize)
 	switch {
 	case err != nil:
 		n.warnLimited("malformed answer", "endpoint", b.endpoint.address, "err", err)
@@ -125,11 +124,21 @@
 		n.completeAttempt(att, balancer.OutcomeReset, nil) // the request may have run
 	case complete:
 		b.finishAnswer(unread > 0)
-	case large:
+	case b.answerIsLarge():
 		b.startDownload()
 	}
 }
 
+// answerIsLarge reports whether the body of an incomplete answer is larger than protocol.MaxBody, by its stated length
+// or by what has been received of it.
+func (b *backendConn) answerIsLarge() bool {
+	if !b.message.InBody() {
+		return false
+	}
+	received := len(b.message.Body(b.input.bytes()))
+	return max(b.message.ContentLength(), received) > protocol.MaxBody || b.input.length == protocol.BufferSize
+}
+
 // errEarlyLargeAnswer reports a large answer to a request that has not been written completely: more of the answer
 // would have to be buffered than the node allows.
 var errEarlyLargeAnswer = errors.New("too much of a large answer received before the end of its request")
--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -163,6 +163,45 @@
 	}
 }
 
+// What a backend has written of an answer of more than 64 KiB is forwarded before the rest arrives, in each framing.
+// Guards against a failure in which up to 12 KiB more were awaited of an answer without a stated length, so that a
+// request that had run was failed while its backend paused.
+func TestLargeAnswerIsForwardedBeforeItsRest(t *testing.T) {
+	body := randomBody(1, 2*protocol.MaxBody)
+	first, rest := body[:protocol.MaxBody+1], body[protocol.MaxBody+1:]
+	const lastChunk = "0\r\n\r\n"
+	chunk := func(data []byte) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+	for _, c := range []struct{ name, field, first, rest string }{
+		{"length", "Content-Length: " + strconv.Itoa(len(body)), string(first), string(rest)},
+		{"one chunk", "Transfer-Encoding: chunked", chunk(first), chunk(rest) + lastChunk},
+		{"within a chunk", "Transfer-Encoding: chunked", chunk(body)[:len(first)+16], chunk(body)[len(first)+16:] + lastChunk},
+		{"until close", "Connection: close", string(first), string(rest)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			backend := newManualBackend(t, 0)
+			_, addr := startNode(t, backend.targets(), nil)
+			client := dialNode(t, addr)
+			_, _ = io.WriteString(client, requestText("once", 9000))
+			conn, _ := backend.acceptRequest()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", c.field, c.first)
+			answer, err := http.ReadResponse(client.reader, nil)
+			if err != nil || answer.StatusCode != http.StatusOK {
+				t.Fatal(answer, err)
+			}
+			defer func() { _ = answer.Body.Close() }() // read to its end
+			got := make([]byte, len(first))
+			if _, err := io.ReadFull(answer.Body, got); err != nil {
+				t.Fatalf("the first bytes: %v", err)
+			}
+			_, _ = io.WriteString(conn, c.rest)
+			_ = conn.Close()
+			if end, err := io.ReadAll(answer.Body); err != nil || string(got)+string(end) != string(body) {
+				t.Errorf("%d bytes and %d, %v", len(got), len(end), err)
+			}
+		})
+	}
+}
+
 // An answer to a request that is still being uploaded is forwarded at once. If a backend ends the connection before the
 // last byte of the request, it has not run the request, and the client gets a rejection.
 func TestAnswerBeforeEndOfUpload(t *testing.T) {
