Reject a large request in time if its backend does not read it

What callers saw: no answer half a second after their time to a body of 5.5 MB that had been written at once, if its backend hangs; 503 after 10 s to those who stayed.

Cause: the time of a request counts from its last byte. While a large one is forwarded it has no deadline, as the node has not read that byte, and a write to the backend may take 10 s. The client may have written all long before: the rest stands in the kernels' buffers.

Change: every 0.1 s the event loop looks at each upload. If a piece is being written and the deadline has passed, counted from the last moment at which the last byte had certainly not been sent, the backend's connection closes and the client gets 503. The last byte has not been sent while a read waits for the client, nor while more is missing than a client's kernel buffers (4 MiB). In a shutdown the time of the last answers applies as well.

Why it works: a request whose last byte was not written has not run, so that the rejection holds. If the forwarder has read the last byte, its own report decides whether it was written.

Result: TestUploadToUnreadingBackendIsRejectedInTime: 503 after 10.0 s without the check, within 3.5 s of a time of 3 s with it.

--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -27,6 +27,7 @@
 	closeAttemptAbandoned  closeReason = "attempt abandoned"
 	closeRequestAnswered   closeReason = "request answered before it was written"
 	closeUnwantedDownload  closeReason = "large answer not needed"
+	closeUploadTimedOut    closeReason = "large request not read by the backend in time"
 )
 
 // logClose logs why the node closes a client's connection. It warns if a request, or a part of one, is unanswered on
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,20 +71,42 @@
 // written, so that one buffer suffices. It runs on its own goroutine and passes results to the event loop by posting
 // them.
 type forwarder struct {
-	source          source
-	message         protocol.Message // parser for the rest of the message
-	buffer          *buffer          // input that has been read and not forwarded
-	write           func(parts ...[]byte) error
-	chunked         bool // the body is written with chunked framing
-	enforceMinRate  bool // the sender must keep up minBodyRate
+	source         source
+	message        protocol.Message // parser for the rest of the message
+	buffer         *buffer          // input that has been read and not forwarded
+	write          func(parts ...[]byte) error
+	chunked        bool        // the body is written with chunked framing
+	enforceMinRate bool        // the sender must keep up minBodyRate
+	fullyRead      atomic.Bool // the last byte of the message has been read
+	maxBytes       int64       // reading fails after more bytes than this; 0: unlimited
+	startedAt      time.Time
+	writeTime      time.Duration // time spent on writing
+	writeErr       error         // the error of the first failed write, after which the rest of the message is discarded
+	onWriteError   func()        // called when a write fails
+
+	mu       sync.Mutex // held by the forwarder to change progress, and by others to read it
+	progress forwarderProgress
+}
+
+// forwarderProgress is how far a forwarder has come.
+type forwarderProgress struct {
 	receivedBytes   int64
-	fullyRead       atomic.Bool // the last byte of the message has been read
-	maxBytes        int64       // reading fails after more bytes than this; 0: unlimited
-	startedAt       time.Time
-	lastWaitEndedAt time.Time     // end of the last read that waited for the sender; the last byte was not sent earlier
-	writeTime       time.Duration // time spent on writing
-	writeErr        error         // the error of the first failed write, after which the rest of the message is discarded
-	onWriteError    func()        // called when a write fails
+	lastWaitEndedAt time.Time // end of the last read that waited for the sender; the last byte was not sent earlier
+	isWriting       bool      // a piece is being written, so that the sender is not waited for
+}
+
+// currentProgress returns how far the forwarder has come. Any goroutine may call it.
+func (f *forwarder) currentProgress() forwarderProgress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.progress
+}
+
+// updateProgress changes the forwarder's progress.
+func (f *forwarder) updateProgress(change func(*forwarderProgress)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.progress)
 }
 
 // run reads and forwards the message up to its end. It returns the reason if reading failed. A failed write does not
@@ -131,7 +154,11 @@
 		return nil
 	}
 	startedAt := time.Now()
-	defer func() { f.writeTime += time.Since(startedAt) }()
+	f.updateProgress(func(p *forwarderProgress) { p.isWriting = true })
+	defer func() {
+		f.writeTime += time.Since(startedAt)
+		f.updateProgress(func(p *forwarderProgress) { p.isWriting = false })
+	}()
 	if !f.chunked {
 		if len(piece) == 0 {
 			return nil
@@ -157,7 +184,7 @@
 	if !f.enforceMinRate {
 		return forwardIdleTimeout
 	}
-	earned := time.Duration(float64(f.receivedBytes) / (minBodyRate * enforcedRateFraction) * float64(time.Second))
+	earned := time.Duration(float64(f.progress.receivedBytes) / (minBodyRate * enforcedRateFraction) * float64(time.Second))
 	return min(bodyGrace+earned-(now.Sub(f.startedAt)-f.writeTime), forwardIdleTimeout)
 }
 
@@ -170,14 +197,14 @@
 	startedAt := time.Now()
 	n, err := f.source.Read(dst)
 	if now := time.Now(); ok && waiting == 0 && n > 0 && now.Sub(startedAt) >= minEmptyReadWait {
-		f.lastWaitEndedAt = now
+		f.updateProgress(func(p *forwarderProgress) { p.lastWaitEndedAt = now })
 	}
 	return n, err
 }
 
 // readPiece reads the next piece into the buffer. It returns errBodyTooSlow if the sender exceeds readTimeout.
 func (f *forwarder) readPiece() error {
-	if f.maxBytes > 0 && f.receivedBytes > f.maxBytes {
+	if f.maxBytes > 0 && f.progress.receivedBytes > f.maxBytes {
 		return errMessageTruncated
 	}
 	if f.source.descriptor != nil {
@@ -186,7 +213,7 @@
 	}
 	n, err := f.readNotingWait(f.buffer.data[f.buffer.length:])
 	f.buffer.length += n
-	f.receivedBytes += int64(n)
+	f.updateProgress(func(p *forwarderProgress) { p.receivedBytes += int64(n) })
 	switch {
 	case n > 0:
 		return nil
--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -297,7 +297,7 @@
 		{"at the rate", 64_000 * 60, time.Minute, false},
 		{"just under", 64_000 * 50, time.Minute, true},
 	} {
-		f := &forwarder{enforceMinRate: true, receivedBytes: c.received, startedAt: now.Add(-c.elapsed)}
+		f := &forwarder{enforceMinRate: true, progress: forwarderProgress{receivedBytes: c.received}, startedAt: now.Add(-c.elapsed)}
 		if got := f.readTimeout(now) <= 0; got != c.slow {
 			t.Errorf("%s: timed out %v", c.name, got)
 		}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -14,6 +14,7 @@
 // connection is detached from the poller during that time.
 type upload struct {
 	earlyInput       [][]byte         // input received after the buffered part of the body and not forwarded yet
+	earlyBytes       int              // number of bytes that were in earlyInput when the forwarder was created
 	remainingMessage protocol.Message // parser for the rest of the body, as protocol.Message.Remainder returns it
 	rejected         bool             // the request is invalid: only about maxLingerBytes more of it are read
 	forwarder        *forwarder
@@ -99,6 +100,7 @@
 	expect := req.message.ExpectContinue && !client.continueSent
 	client.continueSent = false
 	n.activeForwarders++
+	n.checkUploadDeadline(conn, att, fwd)
 	go func() {
 		if expect {
 			fwd.writeErr = client.write([][]byte{[]byte("HTTP/1.1 100 Continue\r\n\r\n")})
@@ -134,6 +136,9 @@
 		chunked:        u.remainingMessage.ContentLength() < 0,
 		enforceMinRate: true,
 	}
+	for _, piece := range u.earlyInput {
+		u.earlyBytes += len(piece)
+	}
 	u.earlyInput, u.forwarder = nil, fwd
 	return fwd
 }
@@ -191,10 +196,7 @@
 func (n *Node) uploadSent(conn *backendConn, att *attempt, fwd *forwarder) {
 	now := n.now()
 	req, writeErr := att.request, fwd.writeErr
-	sentAfter := req.upload.lastByteTime.earliest
-	if !fwd.lastWaitEndedAt.IsZero() {
-		sentAfter = max(sentAfter, n.nodeTime(fwd.lastWaitEndedAt))
-	}
+	sentAfter := n.lastByteNotSentBefore(req.upload, fwd.currentProgress())
 	req.deadline = n.answerDeadline(now, sentAfter+req.uploadTimeout)
 	att.startedAt, att.deadline = now, req.deadline
 	n.scheduleAt(att.deadline, func() { n.checkAttemptDeadline(att) })
--- a/internal/node/uploaddeadline.go
+++ b/internal/node/uploaddeadline.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tulipglade/internal/balancer"
 )
 
 // The deadline of a request counts from the time at which its client sent the last byte, that is, passed it to the
@@ -80,6 +82,64 @@
 	return req.upload.lastByteTime.earliest + req.uploadTimeout - now
 }
 
+// uploadCheckInterval is the time between two checks of whether the deadline of a request that is being uploaded may
+// have passed, in microseconds.
+const uploadCheckInterval = 100_000
+
+// maxClientSendBuffer is how much of a request a client may have sent that the node's kernel has no space for, in
+// bytes: by default, kernels buffer at most this much of what a process sends (tcp_wmem).
+const maxClientSendBuffer = 4 << 20
+
+// checkUploadDeadline ends the attempt of a request that is being uploaded if the deadline may have passed while its
+// backend did not read: the client may have sent the last byte long before the node can read it. The check is repeated
+// until the upload ends. While the node waits for the client, the last byte has not been sent.
+func (n *Node) checkUploadDeadline(conn *backendConn, att *attempt, fwd *forwarder) {
+	req := att.request
+	if att.isCompleted() || req.upload.forwarderEnded {
+		return
+	}
+	now, progress := n.now(), fwd.currentProgress()
+	if req.exceedsClientSendBuffer(progress) {
+		req.upload.lastByteTime.earliest = now
+	}
+	earliestDeadline := n.lastByteNotSentBefore(req.upload, progress) + req.uploadTimeout
+	if progress.isWriting && now >= n.answerDeadline(now, earliestDeadline) {
+		n.abandonUpload(conn, att, fwd)
+		return
+	}
+	n.scheduleAt(now+uploadCheckInterval, func() { n.checkUploadDeadline(conn, att, fwd) })
+}
+
+// exceedsClientSendBuffer reports whether so much of a request with a stated length is missing that its client can't
+// have sent all of it. progress is that of the forwarder that reads the request.
+func (r *request) exceedsClientSendBuffer(progress forwarderProgress) bool {
+	waiting, ok := unreadBytes(r.clientConn.descriptor)
+	if !ok {
+		return false
+	}
+	received := len(r.message.Body(r.buffer.bytes())) + max(r.upload.earlyBytes, int(progress.receivedBytes)) + waiting
+	return r.message.ContentLength()-received > maxClientSendBuffer
+}
+
+// lastByteNotSentBefore returns a time before which the last byte of a request was not sent. progress is that of the
+// forwarder that reads the request.
+func (n *Node) lastByteNotSentBefore(up *upload, progress forwarderProgress) int64 {
+	if progress.lastWaitEndedAt.IsZero() {
+		return up.lastByteTime.earliest
+	}
+	return max(up.lastByteTime.earliest, n.nodeTime(progress.lastWaitEndedAt))
+}
+
+// abandonUpload ends an attempt whose backend does not read its request. The backend has not run a request whose last
+// byte was not written. If the forwarder has read that byte, its report tells whether it was written.
+func (n *Node) abandonUpload(conn *backendConn, att *attempt, fwd *forwarder) {
+	n.warnLimited("backend does not read a large request", "endpoint", conn.endpoint.address)
+	n.closeBackendConn(conn, closeUploadTimedOut)
+	if !fwd.fullyRead.Load() {
+		n.completeAttempt(att, balancer.OutcomeConnectFailed, nil)
+	}
+}
+
 // latestDeadline returns the latest time at which the deadline of a large request may be, or noDeadline while its last
 // byte may not have been sent yet.
 func (u *upload) latestDeadline(timeout int64) int64 {
--- a/internal/node/uploaddeadline_test.go
+++ b/internal/node/uploaddeadline_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -164,3 +165,66 @@
 		t.Errorf("the node gave up after %v", waited)
 	}
 }
+
+// startUploadToUnreadingBackend sends a large request to a node with one backend, which accepts a connection and reads
+// nothing. It returns the client, the time at which it began to send, and the backend's connection.
+func startUploadToUnreadingBackend(t *testing.T, framing string, body []byte) (*testClient, time.Time, net.Conn) {
+	t.Helper()
+	backend := newManualBackend(t, 4096)
+	_, addr := startNode(t, backend.targets(), nil)
+	client := dialNode(t, addr)
+	startedAt := time.Now()
+	go func() {
+		_, _ = io.WriteString(client, uploadHead(framing))
+		_, _ = client.Write(body)
+	}()
+	conn, err := backend.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return client, startedAt, conn
+}
+
+// A large request whose backend does not read it is rejected when the time of its client is over. Guards against a
+// failure in which such a request had no deadline, as the node had not read its last byte, although the client had sent
+// it: nothing answered it until the write to the backend timed out after 10 s.
+func TestUploadToUnreadingBackendIsRejectedInTime(t *testing.T) {
+	body := randomBody(1, maxClientSendBuffer)
+	for name, c := range map[string]struct {
+		framing string
+		body    []byte
+	}{
+		"with a length": {"Content-Length: " + strconv.Itoa(len(body)), body},
+		"chunked":       {"Transfer-Encoding: chunked", chunkedBody(body, 10_000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, startedAt, _ := startUploadToUnreadingBackend(t, c.framing, c.body)
+			code, _, _ := client.readAnswer()
+			if waited := time.Since(startedAt); code != 503 || waited > (uploadTimeoutMillis+500)*time.Millisecond {
+				t.Errorf("answered %d after %v", code, waited)
+			}
+		})
+	}
+}
+
+// A large request is not rejected while its client can't have sent all of it: it is served by a backend that begins to
+// read it later than the client would wait for the answer.
+func TestUploadIsNotRejectedBeforeItsClientHasSentIt(t *testing.T) {
+	t.Parallel()
+	body := randomBody(1, 4*maxClientSendBuffer)
+	client, startedAt, conn := startUploadToUnreadingBackend(t, "Content-Length: "+strconv.Itoa(len(body)), body)
+	time.Sleep(time.Until(startedAt.Add((uploadTimeoutMillis + 500) * time.Millisecond)))
+	go func() {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		writeOK(conn, "done")
+	}()
+	if code, answer, _ := client.readAnswer(); code != 200 || answer != "done" {
+		t.Error(code, answer)
+	}
+}
