Keep the input behind a large request that one buffer has no space for

What callers saw: a ride-start ran with a body whose end was the head and a part of another request; another was never run, and the last one of the connection had no answer.

Cause: resumeAfterUpload put what had been read behind a large request into one buffer and ignored what buffer.add returns, the rest. Later input was appended behind the gap.

Change: the rest is kept as overflow, like pipelined input behind small requests, up to the same limits; beyond them nothing after the gap is parsed.

Why it works: the bytes of the connection are parsed in the order in which they came, or not at all.

--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -445,3 +445,42 @@
 		})
 	}
 }
+
+// Requests that are pipelined behind a large one are served with their own bodies. Guards against a failure in which
+// input behind a large request was dropped beyond one buffer, and later input was taken for the rest of a body that had
+// lost its end.
+func TestRequestsBehindUploadKeepTheirBodies(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	backend := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			arrived <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	})
+	n, addr := startNode(t, backend.targets(), nil)
+	client := dialNode(t, addr)
+	bodies := [][]byte{nil, randomBody(1, 100_000), randomBody(2, 60_000), randomBody(3, 60_000), randomBody(4, 60_000)}
+	_, _ = io.WriteString(client, requestText("read", 9000))
+	<-arrived
+	pipelined := 0
+	for _, body := range bodies[1:] { // all of it is received while the first request is unanswered
+		request := postRequest("Content-Length: "+strconv.Itoa(len(body))) + string(body)
+		pipelined += len(request)
+		_, _ = io.WriteString(client, request)
+	}
+	waitUntil(n, func() bool {
+		for c := range n.clients {
+			if c.input != nil && c.input.length+c.overflowSize == pipelined {
+				return true
+			}
+		}
+		return false
+	})
+	close(release)
+	for i, body := range bodies {
+		if code, got, _ := client.readAnswer(); code != 200 || got != string(body) {
+			t.Errorf("answer %d: status %d, %d bytes of %d, or altered", i, code, len(got), len(body))
+		}
+	}
+}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -236,8 +236,10 @@
 	if len(rest) > 0 {
 		c.input = newBuffer()
 		c.requestStarted(c.node.now())
-		c.input.add(rest)
 		c.recordArrival(len(rest), c.node.now())
+		if excess := c.input.add(rest); len(excess) > 0 {
+			c.bufferOverflow(excess)
+		}
 	}
 	if c.request == nil {
 		c.setIdle(true)
