Give clients 50 ms to read the answers that a node gives at its end

What callers saw: a reset in place of the 504 to a request that came over 0.7 s after SIGTERM and met a backend that hangs.

Cause: such a request is due at answersDueBy, and its timer answers it then. checkDrained runs at the end of the same turn of the event loop and reset each connection whose answer was being written at that time, the one just begun included.

Change: a connection is reset for an unread answer only if that was begun 50 ms ago or more, half of the time that is left until the kill. Connections that are closing have the same 50 ms; from answersDueBy on the end is checked every 10 ms.

Why it works: the answer is written and its connection shut down in order before the reset can come, unless its client does not read; then it is reset as before.

--- a/internal/node/clientanswer.go
+++ b/internal/node/clientanswer.go
@@ -18,7 +18,7 @@
 		return
 	}
 	c.closeAfterAnswer = c.closeAfterAnswer || c.node.drain.active || c.upload != nil
-	c.writingAnswer = true
+	c.writingAnswer, c.answerStartedAt = true, c.node.now()
 	c.node.answersInProgress++
 	head := newBuffer()
 	size := len(body)
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -24,6 +24,7 @@
 	message           protocol.Message // the request that is being read from input
 	request           *request         // the request that waits for its answer; nil: none
 	writingAnswer     bool             // an answer, or 100 Continue, is being written
+	answerStartedAt   int64            // when the node began to write the last answer
 	closeAfterAnswer  bool             // the connection closes after the current or next answer
 	continueSent      bool             // 100 Continue has been written for the request that is being read
 	discardedBytes    int              // amount of input that was discarded while the connection lingers
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -100,7 +100,7 @@
 	}
 	client.request = nil
 	client.closeAfterAnswer = client.closeAfterAnswer || n.drain.active || client.upload != nil
-	client.writingAnswer, client.downloadConn = true, conn
+	client.writingAnswer, client.answerStartedAt, client.downloadConn = true, n.now(), conn
 	n.answersInProgress++
 	fwd.chunked = length == protocol.Chunked
 	fwd.write = func(parts ...[]byte) error { return client.write(parts) }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -30,6 +30,8 @@
 	killDeadline         = 3_000_000
 	killGrace            = 700_000
 	finalAnswerMargin    = 100_000 // time before the kill that is reserved for the transmission of the last answers
+	lastAnswerReadTime   = 50_000  // part of finalAnswerMargin for which a client may take to read an answer
+	endCheckInterval     = 10_000  // time between two checks of whether the shutdown can end, once answers are due
 	partialRequestMargin = 300_000 // time before the kill at which connections with an incomplete request are closed
 )
 
@@ -42,7 +44,7 @@
 	generation           int    // number of drains so far: timers of an earlier drain have no effect
 	stopRequestedAt      int64  // when the process was told to end
 	partialRequestsUntil int64  // until when a shutdown waits for incomplete requests
-	answersDueBy         int64  // when all requests must be answered and clients must have read their answers
+	answersDueBy         int64  // when all requests must be answered; clients have lastAnswerReadTime more to read the answers
 	closingAll           bool   // all requests are answered, and every connection is being closed
 	onDrained            func() // called at the end of a shutdown; nil: not to be called yet, or called already
 }
@@ -59,7 +61,7 @@
 		n.drain.stopping = true
 		now := n.now()
 		n.drain.setDeadlines(now, n.longestDeadline())
-		n.scheduleAt(n.drain.answersDueBy, n.checkDrained)
+		n.scheduleAt(n.drain.answersDueBy, n.endTick)
 		n.scheduleAt(max(now+grace.Microseconds(), n.drain.startedAt+idleCloseDelay), func() { n.drain.onDrained = done })
 	})
 }
@@ -95,6 +97,14 @@
 	n.scheduleAt(now+drainCheckInterval, func() { n.drainTick(generation) })
 }
 
+// endTick checks whether the shutdown can end, and reschedules itself until it has ended.
+func (n *Node) endTick() {
+	n.checkDrained()
+	if n.drain.onDrained != nil {
+		n.scheduleAt(n.now()+endCheckInterval, n.endTick)
+	}
+}
+
 // closeIdleClients closes client connections on which no request is in progress, not even an incomplete one. Until new
 // requests are rejected, it spares new connections, on which the first request is expected.
 func (n *Node) closeIdleClients() {
@@ -129,7 +139,7 @@
 	}
 	n.drain.closingAll = true
 	busy := n.closeClientsGracefully()
-	if now < n.drain.answersDueBy && busy+n.lingeringClients.Len() > 0 {
+	if now < n.drain.answersDueBy+lastAnswerReadTime && busy+n.lingeringClients.Len() > 0 {
 		return
 	}
 	onDrained := n.drain.onDrained
@@ -137,11 +147,13 @@
 	onDrained()
 }
 
-// abortUnreadAnswers closes the connections of clients that have not read their answers by the end of a shutdown. Each
-// is reset, so that its client can tell that the answer is incomplete.
+// abortUnreadAnswers closes the connections of clients that have not read their answers by the end of a shutdown, each
+// of them lastAnswerReadTime after its answer began at the earliest. The connections are reset, so that their clients
+// can tell that the answers are incomplete.
 func (n *Node) abortUnreadAnswers() {
+	now := n.now()
 	for client := range n.clients {
-		if client.writingAnswer {
+		if client.writingAnswer && now-client.answerStartedAt >= lastAnswerReadTime {
 			client.resetOnClose()
 			client.close(closeAnswerTruncated)
 		}
