Fail a large answer at its deadline while it waits for others to be forwarded

What callers saw: no byte and no refusal for up to 3.8 s, though they waited for 1.5 s, while slow readers of other large answers held a quarter of the node's memory.

Cause: startDownloadForwarding finished the request, and then queued the start of its forwarder. No deadline applies to a request that is finished.

Change: the request stays open while its answer waits (queueDownload). At its deadline the node answers 504 and closes the backend's connection; so does the client's disconnect.

Why it works: the request is finished when its forwarder starts, or at its deadline, and whichever comes first excludes the other.

--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -184,7 +184,7 @@
 	switch {
 	case b.state == backendClosed || b.state == backendDialing: // in the latter state, dialFinished processes it
 	case b.download != nil && !b.download.awaitingRequestEnd:
-		n.startDownloadForwarding(b, nil, nil, nil)
+		n.downloadDetached(b, nil, nil, nil)
 	case att == nil:
 		n.closeBackendConn(b, closePeerEnded)
 		n.dialForWaiting(b.endpoint)
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -46,16 +46,15 @@
 	n := b.node
 	b.download.awaitingRequestEnd = false
 	b.detach(func(descriptor *os.File, rest []byte, err error) {
-		n.report(reportDetached, func() { n.startDownloadForwarding(b, descriptor, rest, err) })
+		n.report(reportDetached, func() { n.downloadDetached(b, descriptor, rest, err) })
 	}) // if the connection has ended, connectionEnded is called instead
 }
 
-// startDownloadForwarding makes a large answer the answer of its request, completes the attempt and starts forwarding
-// to the client. If descriptor is nil, the backend's connection has ended, and the input received so far, of which rest
-// is the last part, is all there is.
-func (n *Node) startDownloadForwarding(conn *backendConn, descriptor *os.File, rest []byte, err error) {
-	current := conn.download
-	att := current.attempt
+// downloadDetached makes a large answer the answer of its request, and completes the attempt. The answer is forwarded
+// at once, or queued while maxForwarders are active. If descriptor is nil, the backend's connection has ended, and the
+// input received so far, of which rest is the last part, is all there is.
+func (n *Node) downloadDetached(conn *backendConn, descriptor *os.File, rest []byte, err error) {
+	att := conn.download.attempt
 	if conn.state == backendClosed || att.isCompleted() || err != nil {
 		if descriptor != nil {
 			_ = descriptor.Close()
@@ -67,29 +66,46 @@
 	if descriptor != nil {
 		conn.useDescriptor(descriptor)
 	}
+	conn.download.earlyInput = append(conn.download.earlyInput, rest)
 	n.recordIdleOutcome(conn.idleBeforeAttempt, false)
-	conn.idleBeforeAttempt = 0
-	req, answerBuffer, msg := att.request, conn.input, conn.message
-	conn.attempt, conn.input = nil, nil
-	report := headerLoadReport(&msg)
-	if !n.finishRequest(req) {
-		answerBuffer.release()
+	conn.idleBeforeAttempt, conn.attempt = 0, nil
+	report := headerLoadReport(&conn.message)
+	switch {
+	case att.request.isDone():
 		n.closeBackendConn(conn, closeAttemptAbandoned)
-		n.completeAttempt(att, balancer.OutcomeOK, report)
-		return
-	}
-	answerSource := source{
-		buffered:     append(current.earlyInput, rest),
-		descriptor:   descriptor,
-		endedInOrder: descriptor == nil && conn.peerClosedCleanly,
+	case n.activeForwarders < n.maxForwarders():
+		n.forwardDownload(conn)
+	default:
+		n.queueDownload(conn)
 	}
-	n.forwardDownload(conn, req.clientConn, &forwarder{source: answerSource, message: msg, buffer: answerBuffer})
 	n.completeAttempt(att, balancer.OutcomeOK, report)
 }
 
-// forwardDownload starts a forwarder that writes the head and the body of an answer to the client. If maxForwarders are
-// active, the start is queued until one of them has ended.
-func (n *Node) forwardDownload(conn *backendConn, client *clientConn, fwd *forwarder) {
+// queueDownload lets a large answer wait until one of the active forwarders has ended. Until then its request is open,
+// and fails at its deadline.
+func (n *Node) queueDownload(conn *backendConn) {
+	req := conn.download.attempt.request
+	req.queuedDownload = conn
+	n.queuedDownloads = append(n.queuedDownloads, conn)
+	n.scheduleAt(req.deadline, func() {
+		if !req.isDone() {
+			n.answerRequest(req, nil, 504, nil, []byte("failed\n"), 0)
+		}
+	})
+}
+
+// forwardDownload starts a forwarder that writes the head and the body of a large answer to the client.
+func (n *Node) forwardDownload(conn *backendConn) {
+	req := conn.download.attempt.request
+	req.queuedDownload = nil
+	n.finishRequest(req)
+	client := req.clientConn
+	fwd := &forwarder{message: conn.message, buffer: conn.input, source: source{
+		buffered:     conn.download.earlyInput,
+		descriptor:   conn.descriptor,
+		endedInOrder: conn.descriptor == nil && conn.peerClosedCleanly,
+	}}
+	conn.input = nil
 	length := fwd.message.ContentLength()
 	switch {
 	case length < 0 && client.isHTTP10:
@@ -106,24 +122,17 @@
 	fwd.write = func(parts ...[]byte) error { return client.write(parts) }
 	head := newBuffer()
 	headBytes := protocol.AppendResponse(head.data[:0], 200, fwd.message.Fields, length, !client.closeAfterAnswer, 0)
-	start := func() {
-		n.activeForwarders++
-		go func() {
-			err := fwd.write(headBytes)
-			if err == nil {
-				err = fwd.run()
-			}
-			n.report(reportForwarded, func() {
-				head.release()
-				n.downloadFinished(conn, client, fwd, err, length == protocol.UntilClose)
-			})
-		}()
-	}
-	if n.activeForwarders < n.maxForwarders() {
-		start()
-	} else {
-		n.queuedForwarders = append(n.queuedForwarders, start)
-	}
+	n.activeForwarders++
+	go func() {
+		err := fwd.write(headBytes)
+		if err == nil {
+			err = fwd.run()
+		}
+		n.report(reportForwarded, func() {
+			head.release()
+			n.downloadFinished(conn, client, fwd, err, length == protocol.UntilClose)
+		})
+	}()
 }
 
 // downloadFinished processes the end of a forwarder that reads from a backend. err is the error of reading
--- a/internal/node/forwarderlimit.go
+++ b/internal/node/forwarderlimit.go
@@ -15,12 +15,15 @@
 	return max(limit/max(n.processCount, 1), 4)
 }
 
-// forwarderFinished counts a forwarder as ended and starts queued forwarders as far as the limit allows.
+// forwarderFinished counts a forwarder as ended and starts queued downloads as far as the limit allows. Those whose
+// request has been answered meanwhile, as its time was over, are dropped.
 func (n *Node) forwarderFinished() {
 	n.activeForwarders--
-	for len(n.queuedForwarders) > 0 && n.activeForwarders < n.maxForwarders() {
-		next := n.queuedForwarders[0]
-		n.queuedForwarders = slices.Delete(n.queuedForwarders, 0, 1)
-		next()
+	for len(n.queuedDownloads) > 0 && n.activeForwarders < n.maxForwarders() {
+		next := n.queuedDownloads[0]
+		n.queuedDownloads = slices.Delete(n.queuedDownloads, 0, 1)
+		if next.state != backendClosed {
+			n.forwardDownload(next)
+		}
 	}
 }
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -142,7 +142,7 @@
 		n.completeAttempt(att, balancer.OutcomeConnectFailed, nil)
 	case conn.peerEndedEarly && conn.download != nil:
 		conn.setState(backendAwaitingAnswer)
-		n.startDownloadForwarding(conn, nil, nil, nil)
+		n.downloadDetached(conn, nil, nil, nil)
 	case conn.peerEndedEarly:
 		n.recordIdleOutcome(conn.idleBeforeAttempt, conn.input == nil && n.now()-att.startedAt < 2*reuseDelay)
 		n.finishAttemptAtConnEnd(conn, att)
