Reject a late attempt of a change of a lease's slots or note

What operators saw: `tulipctl lease slots job 2` and then `job 1` both confirmed, and two holders for good once the first attempt of the first call arrived, 1.5 s late.

Cause: the client repeats a call without an answer, and a change of the slots or of a note carried nothing that orders it, so that an attempt which arrived after a later call was applied.

Change: a change of the slots names the revision of all slots that its caller has read; the group rejects it if they were changed since by another request. The client then reads and tries again. Notes are numbered under their token. Commands without these fields are applied as before.

Why it works: any later call has raised the revision, which no lease resets, or the number, when the late attempt is applied, on each member alike.

--- a/cmd/tulipctl/lease.go
+++ b/cmd/tulipctl/lease.go
@@ -294,7 +294,7 @@
 	}
 	c, ctx, stop := agentClient(ctx, cmd)
 	defer stop()
-	if _, err := c.SendCommand(ctx, "most", lease.Command{Name: cmd.Args().Get(0), MaxHolders: maxHolders}); err != nil {
+	if err := c.SetMaxHolders(ctx, cmd.Args().Get(0), maxHolders); err != nil {
 		return negativeAnswer("lease slots: %v", err)
 	}
 	return nil
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -38,14 +38,15 @@
 
 // errorCodes maps the Code of a Response to the error that it stands for.
 var errorCodes = map[string]errorCode{
-	"taken":     {lease.ErrNoFreeSlot, http.StatusConflict},
-	"not-held":  {lease.ErrNotGranted, http.StatusConflict},
-	"fewer":     {lease.ErrSlotRemoved, http.StatusConflict},
-	codeInvalid: {lease.ErrInvalid, http.StatusBadRequest},
-	"full":      {lease.ErrFull, http.StatusInsufficientStorage},
-	"unsure":    {consensus.ErrOutcomeUnknown, http.StatusServiceUnavailable},
-	codeBusy:    {consensus.ErrBusy, http.StatusServiceUnavailable},
-	"not-now":   {consensus.ErrInvalidChange, http.StatusConflict},
+	"taken":      {lease.ErrNoFreeSlot, http.StatusConflict},
+	"not-held":   {lease.ErrNotGranted, http.StatusConflict},
+	"fewer":      {lease.ErrSlotRemoved, http.StatusConflict},
+	"superseded": {lease.ErrSuperseded, http.StatusConflict},
+	codeInvalid:  {lease.ErrInvalid, http.StatusBadRequest},
+	"full":       {lease.ErrFull, http.StatusInsufficientStorage},
+	"unsure":     {consensus.ErrOutcomeUnknown, http.StatusServiceUnavailable},
+	codeBusy:     {consensus.ErrBusy, http.StatusServiceUnavailable},
+	"not-now":    {consensus.ErrInvalidChange, http.StatusConflict},
 }
 
 // Verbs at the end of the paths under /lease/, each for one command on a lease.
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -177,6 +177,22 @@
 	return *response.Grant, nil
 }
 
+// SetMaxHolders sets the number of slots of a lease. Each attempt names the revision of the slots that was read before,
+// so that one which arrives late does not undo a later change.
+func (c *Client) SetMaxHolders(ctx context.Context, name string, maxHolders int) error {
+	command := lease.Command{Name: name, MaxHolders: maxHolders, RequestID: lastRequestID.Add(1)}
+	for {
+		status, err := c.ReadStatus(ctx)
+		if err != nil {
+			return err
+		}
+		command.IfRevision = status.SlotsRevision
+		if _, err = c.SendCommand(ctx, verbSetMaxHolders, command); !errors.Is(err, lease.ErrSuperseded) {
+			return err
+		}
+	}
+}
+
 // ReadStatus returns the status of the group, which includes everything that it agreed on before the call.
 func (c *Client) ReadStatus(ctx context.Context) (consensus.Status, error) {
 	return checkedStatus(c.send(ctx, groupRequest{method: http.MethodGet, path: pathLeases, timeout: attemptTimeout}))
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -50,6 +50,8 @@
 	stop      context.CancelFunc
 	stopped   chan struct{} // closed when the goroutine that renews the lease has ended
 
+	lastNoteNumber atomic.Uint64 // number of the last call of SetNote
+
 	mu        sync.Mutex
 	guard     lease.Guard
 	endReason error // why no action may begin under the lease any more; nil while it may
@@ -242,10 +244,15 @@
 	return l.guard.Remaining(l.options.Clock())
 }
 
-// SetNote replaces the note of the lease, which the next holder can read.
+// SetNote replaces the note of the lease, which the next holder can read. Of two calls, the note of the later one stays.
 func (l *Lease) SetNote(ctx context.Context, text string) error {
 	grant, _ := l.Grant()
-	_, err := l.client.SendCommand(ctx, verbSetNote, lease.Command{Name: grant.Name, Token: grant.Token, NoteText: text})
+	_, err := l.client.SendCommand(ctx, verbSetNote, lease.Command{
+		Name:       grant.Name,
+		Token:      grant.Token,
+		NoteText:   text,
+		NoteNumber: l.lastNoteNumber.Add(1),
+	})
 	return err
 }
 
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -18,6 +18,8 @@
 	Terms   lease.Terms       `json:"terms"`
 	Members map[uint64]string `json:"members"`
 	Leases  []lease.Lease     `json:"leases,omitempty"`
+
+	SlotsRevision uint64 `json:"slots_revision,omitempty"` // see lease.Command.IfRevision
 }
 
 // Status returns the group's state as this member currently sees it.
@@ -31,6 +33,8 @@
 		Terms:   m.terms,
 		Members: maps.Clone(m.members),
 		Leases:  m.leases.List(),
+
+		SlotsRevision: m.leases.SlotsRevision(),
 	}
 }
 
--- a/internal/lease/command.go
+++ b/internal/lease/command.go
@@ -11,8 +11,8 @@
 	Acquire                   // Name, Holder, RequestID, Ticks: grant a free slot for this many ticks
 	Renew                     // Name, Token, Ticks: let the grant expire no sooner than this many ticks from now
 	Release                   // Name, Token: end the grant
-	SetMaxHolders             // Name, MaxHolders: set the number of slots, which is 1 by default
-	SetNote                   // Name, Token, NoteText: set the note for the next holder, or delete it if empty
+	SetMaxHolders             // Name, MaxHolders, RequestID, IfRevision: set the number of slots, which is 1 by default
+	SetNote                   // Name, Token, NoteText, NoteNumber: set the note for the next holder, or delete it if empty
 )
 
 // Command is an operation on a State. Its JSON form is stored and sent over HTTP.
@@ -25,6 +25,13 @@
 	Ticks      uint64 `json:"ticks,omitempty"`
 	MaxHolders int    `json:"most,omitempty"`
 	NoteText   string `json:"text,omitempty"`
+
+	// IfRevision makes SetMaxHolders conditional: it is rejected if the slots of any lease have been changed since
+	// State.SlotsRevision had this value, unless this very request has changed them. 0: it is not conditional.
+	IfRevision uint64 `json:"if_revision,omitempty"`
+	// NoteNumber orders the notes that are set under one token: an earlier one does not replace a later one. 0: the note
+	// is not ordered.
+	NoteNumber uint64 `json:"note_number,omitempty"`
 }
 
 // Errors with which a command is rejected. A rejected command changes nothing. Agents send the texts to their clients.
@@ -33,6 +40,7 @@
 	ErrNotGranted  = errors.New("no such grant: it has ended, or never was")
 	ErrSlotRemoved = errors.New("fewer may hold it now: this seat is not renewed")
 	ErrInvalid     = errors.New("a command that makes no sense")
+	ErrSuperseded  = errors.New("a later change has been made")
 	ErrFull        = errors.New("too many leases")
 )
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -56,6 +56,45 @@
 	}
 }
 
+// A change that arrives after a later one does not undo it. Guards against a failure in which a late first attempt of
+// "lease slots" let two hold a lease again for which an operator had set one slot since.
+func TestLateAttemptDoesNotUndoLaterChange(t *testing.T) {
+	s := New()
+	two := Command{Kind: SetMaxHolders, Name: "job", MaxHolders: 2, RequestID: 1, IfRevision: s.SlotsRevision()}
+	apply := func(command Command, want error) {
+		t.Helper()
+		if _, err := s.Apply(command); !errors.Is(err, want) {
+			t.Errorf("%+v: %v, want %v", command, err, want)
+		}
+	}
+	apply(two, nil)
+	apply(two, nil) // the second attempt of the same call, whose first one was answered too late
+	one := Command{Kind: SetMaxHolders, Name: "job", MaxHolders: 1, RequestID: 2, IfRevision: s.SlotsRevision()}
+	apply(one, nil) // the lease differs in nothing from a new one now, and is deleted
+	restored, err := Restore(mustSnapshot(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = restored
+	apply(two, ErrSuperseded)
+	apply(Command{Kind: Acquire, Name: "job", Holder: "a", RequestID: 1, Ticks: 9}, nil)
+	apply(Command{Kind: Acquire, Name: "job", Holder: "b", RequestID: 1, Ticks: 9}, ErrNoFreeSlot)
+	apply(Command{Kind: SetNote, Name: "job", Token: 1, NoteText: "second", NoteNumber: 2}, nil)
+	apply(Command{Kind: SetNote, Name: "job", Token: 1, NoteText: "first", NoteNumber: 1}, ErrSuperseded)
+	if note := s.List()[0].Note; note != "second" {
+		t.Errorf("the note is %q", note)
+	}
+}
+
+func mustSnapshot(t *testing.T, s *State) []byte {
+	t.Helper()
+	raw, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
 // For any commands in any order, tokens only grow, each slot has at most one grant, rejected commands change nothing,
 // unused leases are deleted, and a State that was restored from a snapshot behaves like the original.
 func TestApplyKeepsInvariantsForAnyCommands(t *testing.T) {
@@ -70,6 +109,8 @@
 				Token:      Token(rapid.Uint64Range(0, 9).Draw(rt, "token")),
 				Ticks:      rapid.Uint64Range(0, 4).Draw(rt, "ticks"),
 				MaxHolders: rapid.IntRange(0, 3).Draw(rt, "max holders"),
+				IfRevision: rapid.Uint64Range(0, 4).Draw(rt, "if revision"),
+				NoteNumber: rapid.Uint64Range(0, 2).Draw(rt, "note number"),
 			}
 			before, err := s.Snapshot()
 			if err != nil {
--- a/internal/lease/snapshot.go
+++ b/internal/lease/snapshot.go
@@ -13,6 +13,9 @@
 	Tick    uint64             `json:"tick"`
 	Token   Token              `json:"token"`
 	Leases  map[string]*record `json:"leases"`
+
+	SlotsRevision    uint64 `json:"slots_revision,omitempty"` // less firstRevision
+	LastSlotsRequest uint64 `json:"last_slots_request,omitempty"`
 }
 
 // Snapshot encodes the whole State. Equal States have equal snapshots, because encoding/json writes maps in the order
@@ -23,6 +26,9 @@
 		Tick:    s.tick,
 		Token:   s.lastToken,
 		Leases:  s.leases,
+
+		SlotsRevision:    s.slotsRevision - firstRevision,
+		LastSlotsRequest: s.lastSlotsRequest,
 	})
 }
 
@@ -35,7 +41,10 @@
 	if decoded.Version != snapshotVersion {
 		return nil, fmt.Errorf("snapshot of leases has version %d, but this program reads only version %d", decoded.Version, snapshotVersion)
 	}
-	s := &State{tick: decoded.Tick, lastToken: decoded.Token, leases: map[string]*record{}}
+	s := New()
+	s.tick, s.lastToken = decoded.Tick, decoded.Token
+	s.slotsRevision += decoded.SlotsRevision
+	s.lastSlotsRequest = decoded.LastSlotsRequest
 	for name, r := range decoded.Leases {
 		if r == nil || r.MaxHolders < 1 {
 			return nil, fmt.Errorf("snapshot of leases: lease %q has no state or no slots", name)
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -10,18 +10,25 @@
 	MaxHolders int     `json:"most"`
 	Grants     []Grant `json:"held"` // sorted by slot
 	Note       string  `json:"note,omitempty"`
+	NoteToken  Token   `json:"note_token,omitempty"`  // the token under which the last numbered note was set
+	NoteNumber uint64  `json:"note_number,omitempty"` // the number of that note
 }
 
 // State is the replicated state machine. It is deterministic: the same commands in the same order lead to the same
 // State and return the same results.
 type State struct {
-	tick      uint64
-	lastToken Token
-	leases    map[string]*record
+	tick             uint64
+	lastToken        Token
+	slotsRevision    uint64 // counts the changes of the slots of any lease, from firstRevision on
+	lastSlotsRequest uint64 // RequestID of the last such change
+	leases           map[string]*record
 }
 
+// firstRevision is the SlotsRevision of a State whose slots have never been changed.
+const firstRevision = 1
+
 // New returns a State without leases.
-func New() *State { return &State{leases: map[string]*record{}} }
+func New() *State { return &State{slotsRevision: firstRevision, leases: map[string]*record{}} }
 
 // Apply applies the next command and returns the grant that it concerns, if any. A command that is rejected with an
 // error changes nothing.
@@ -46,7 +53,7 @@
 	case Release:
 		return r.release(command.Token)
 	case SetMaxHolders:
-		return Grant{}, r.setMaxHolders(command.MaxHolders)
+		return Grant{}, s.setMaxHolders(r, command)
 	case SetNote:
 		return s.setNote(r, command)
 	}
@@ -129,10 +136,16 @@
 	if i < 0 {
 		return Grant{}, ErrNotGranted
 	}
+	isOrdered := command.NoteNumber > 0
+	if isOrdered && r.NoteToken == command.Token && command.NoteNumber < r.NoteNumber {
+		return Grant{}, ErrSuperseded
+	}
 	if r.Note == "" && command.NoteText != "" && s.countNotes() >= maxNotes {
 		return Grant{}, ErrFull
 	}
-	r.Note = command.NoteText
+	if r.Note = command.NoteText; isOrdered {
+		r.NoteToken, r.NoteNumber = command.Token, command.NoteNumber
+	}
 	return r.Grants[i], nil
 }
 
@@ -164,14 +177,28 @@
 	return released, nil
 }
 
-func (r *record) setMaxHolders(maxHolders int) error {
-	if maxHolders < 1 || maxHolders > maxSlots {
+// setMaxHolders changes the number of slots of a lease. An attempt of a conditional request that arrives after a later
+// change is rejected. A repeated attempt of the request that made the last change succeeds.
+func (s *State) setMaxHolders(r *record, command Command) error {
+	if command.MaxHolders < 1 || command.MaxHolders > maxSlots {
 		return ErrInvalid
 	}
-	r.MaxHolders = maxHolders
+	isConditional := command.IfRevision > 0
+	if isConditional && command.IfRevision != s.slotsRevision {
+		if command.RequestID != 0 && command.RequestID == s.lastSlotsRequest {
+			return nil
+		}
+		return ErrSuperseded
+	}
+	r.MaxHolders = command.MaxHolders
+	s.slotsRevision++
+	s.lastSlotsRequest = command.RequestID
 	return nil
 }
 
+// SlotsRevision returns a number that grows with each change of the slots of any lease.
+func (s *State) SlotsRevision() uint64 { return s.slotsRevision }
+
 // indexOf returns the index of the grant with this token, or -1 if there is none.
 func (r *record) indexOf(token Token) int {
 	return slices.IndexFunc(r.Grants, func(g Grant) bool { return g.Token == token })
