--- a/internal/node/secondanswer_test.go
+++ b/internal/node/secondanswer_test.go
@@ -61,6 +61,7 @@
 // playSecondAnswers sends requests to a node with two backends that answer a second time. It returns the requests that
 // got the answer to another one or ran twice, and after what time the latest second answer was written.
 func playSecondAnswers(t *testing.T) (faults []string, latest time.Duration) {
+	t.Helper()
 	const clients, requestsPerClient = 8, 40
 	backend := &secondAnswerBackend{runs: map[string]int{}}
 	var targets []protocol.Target
