--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -56,4 +56,9 @@
 
 // mayReceiveDuplicate reports whether a duplicate of the last answer may still arrive on the connection, so that the
 // next request on it might take the duplicate for its own answer.
-func (b *backendConn) mayReceiveDuplicate(now int64) bool { return now-b.lastAnswerAt < reuseDelay }
+func (b *backendConn) mayReceiveDuplicate(now int64) bool {
+	return now-b.lastAnswerAt < b.node.restAfterAnswer()
+}
+
+// restAfterAnswer returns how long after an answer a connection is not reused, in microseconds.
+func (n *Node) restAfterAnswer() int64 { return max(reuseDelay, n.testReuseDelay) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 	violations     map[safety.Reason]int // invariant violations that the audit has found, by reason
 	traceRequests  bool                  // log each step of each request
 	testWriteDelay int64                 // set by tests: simulated delay of the first byte of attempts, in microseconds
+	testReuseDelay int64                 // if longer than reuseDelay, replaces it
 	// testBeforeFirstWrite is set by tests. It is called once the timeout of an attempt has been computed.
 	testBeforeFirstWrite func()
 	// testReportDelay is set by tests. It returns the delay before the result of a system call is posted.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -116,7 +116,7 @@
 func (n *Node) scheduleServeWaiting(ep *endpoint) {
 	next := int64(noDeadline)
 	for _, conn := range ep.idleConns {
-		next = min(next, conn.lastAnswerAt+reuseDelay)
+		next = min(next, conn.lastAnswerAt+n.restAfterAnswer())
 	}
 	if next < noDeadline {
 		n.scheduleAt(next, func() { n.serveWaiting(ep) })
