Forward in time what has arrived of an answer without a stated length

Cause: such an answer counted as large only above 64 KiB; until then it was buffered, and the balancer's deadline timer failed its request shortly before the latency objective. Another gap of the same kind: the timer could also fail a request while the connection of its large answer was leaving the poller.

Change: the node reports the first part to the balancer, which says by when it is forwarded (1 s at most, and in time for the objective or else the deadline) and no longer fails the request meanwhile. Until then a break is retried. An answer of up to 64 KiB without an end 0.3 s after the deadline is cut off so that its client sees it.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -8,12 +8,34 @@
 func (b *Balancer) setDeadlineTimer(request *openRequest) {
 	end := request.deadline
 	if b.config.Classes[request.class].LateValue == 0 && b.config.AllowCancel && request.objectiveAt > b.now {
-		margin := min(b.config.TickInterval, (request.objectiveAt-b.now)/8)
-		end = request.objectiveAt - margin - Span(b.networkDelay)
+		end = b.shortlyBefore(request.objectiveAt)
 	}
 	b.setRequestTimer(request, timerDeadline, max(end-b.now, 0))
 }
 
+// shortlyBefore returns the latest time at which an answer may be sent so that the client has it at the given
+// time, which is not over yet.
+func (b *Balancer) shortlyBefore(end Time) Time {
+	margin := min(b.config.TickInterval, (end-b.now)/8)
+	return end - margin - Span(b.networkDelay)
+}
+
+// maxResponseHold is how long the node may hold back the first part of a response. One that is held back for 2 s
+// counts as lost.
+const maxResponseHold Span = 1_000_000
+
+// responseForwardTime returns the time by which the first part of a response that has just arrived must be
+// forwarded: its client has it within the latency objective, or else within the deadline.
+func (b *Balancer) responseForwardTime(request *openRequest) Time {
+	forwardBy := b.now + maxResponseHold
+	for _, end := range []Time{request.objectiveAt, request.deadline} {
+		if end > b.now {
+			forwardBy = min(forwardBy, b.shortlyBefore(end))
+		}
+	}
+	return max(forwardBy, b.now)
+}
+
 // wouldBeLate reports whether a new request has no time left for an answer. Such a request is the first to be
 // rejected.
 func (b *Balancer) wouldBeLate(request *openRequest) bool {
--- a/internal/balancer/admission_test.go
+++ b/internal/balancer/admission_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestPartialResponseIsForwardedInsteadOfFailed guards against the failure of a request whose response has begun: the
+// node has to forward what has arrived before the balancer would give up.
+func TestPartialResponseIsForwardedInsteadOfFailed(t *testing.T) {
+	node := startNode(t, testConfig(), testEndpoints(3)...)
+	node.request(1, 0, 0)
+	request := node.balancer.requests[1]
+	node.advance(10 * ms)
+	if by := node.balancer.HandlePartialResponse(node.now, 1); by <= node.now || by > request.objectiveAt {
+		t.Errorf("to be forwarded %d us from now, objective in %d us", by-node.now, request.objectiveAt-node.now)
+	}
+	node.advance(request.deadline - node.now + ms)
+	wantFinal(t, node, 1, "")
+	node.complete(1, 0, OutcomeReset)
+	if node.finalAnswers[1] == "" {
+		t.Error("no final answer after the end of the response")
+	}
+}
+
 // TestRetryPastObjectiveIsRejectedFirst guards against attempts for retries whose objective has long passed: in an
 // overload they used half of the capacity.
 func TestRetryPastObjectiveIsRejectedFirst(t *testing.T) {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -121,6 +121,9 @@
 
 // handleRequestTimer rejects or fails a request whose time is over, and else tries to send queued requests.
 func (b *Balancer) handleRequestTimer(request *openRequest, kind TimerID) {
+	if kind == timerDeadline && request.responsePartial { // the node is about to forward it
+		return
+	}
 	if kind == timerDeadline || request.queued && b.now >= b.latestStart(request) {
 		b.rejectOrFail(request)
 		return
@@ -161,7 +164,7 @@
 	if !ended.inFlight {
 		return
 	}
-	ended.inFlight = false
+	ended.inFlight, request.responsePartial = false, false
 	ended.mayHaveRun = !provesNotRun(result.Outcome)
 	b.recordAttemptChange(request, ended.endpoint, -1, result)
 	if result.Outcome == OutcomeOK || result.Outcome == OutcomeTimeout {
@@ -193,6 +196,20 @@
 	b.dispatch()
 }
 
+// HandlePartialResponse handles the arrival of the first part of a response whose length is unknown. It returns
+// the time by which the node has to forward what has arrived and to call HandleResponseStart: the response may be
+// a long one, which an end at the deadline would cut off. Until then the request may be retried if the response
+// breaks off.
+func (b *Balancer) HandlePartialResponse(now Time, id RequestID) (forwardBy Time) {
+	b.now = now
+	request := b.requests[id]
+	if request == nil || request.done {
+		return now
+	}
+	request.responsePartial = true
+	return b.responseForwardTime(request)
+}
+
 // HandleResponseStart handles the start of a streamed response. From then on the request has no deadline.
 func (b *Balancer) HandleResponseStart(now Time, id RequestID) {
 	b.now = now
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -34,6 +34,7 @@
 	queued           bool // it waits for a slot
 	done             bool // it has a final answer, or does not need one
 	responseStarted  bool
+	responsePartial  bool             // the node holds back the first part of a response of unknown length
 	uploading        bool             // its attempt is sent while the node still receives it
 	candidates       []*endpointState // selected endpoints; sent health checks if these are in use
 	checkedAt        Time             // when the health checks were sent
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -66,13 +66,21 @@
 	})
 }
 
-// checkAttemptDeadline abandons an attempt whose deadline has passed, unless it has its outcome already.
+// checkAttemptDeadline abandons an attempt whose deadline has passed, unless it has its outcome already or its answer
+// is about to be forwarded.
 func (n *Node) checkAttemptDeadline(att *attempt) {
-	if !att.isCompleted() && n.now() >= att.deadline {
+	if !att.isCompleted() && n.now() >= att.deadline && !att.isBeingForwarded() {
 		n.abandonAttempt(att, balancer.OutcomeTimeout)
 	}
 }
 
+// isBeingForwarded reports whether a part of the attempt's answer has been received that is forwarded within moments.
+func (a *attempt) isBeingForwarded() bool {
+	conn := a.conn
+	return conn != nil && conn.attempt == a &&
+		(conn.download == nil && conn.holdsPartialAnswer || conn.download != nil && !conn.download.awaitingRequestEnd)
+}
+
 // abandonAttempt ends an attempt that is in flight: it closes the connection of the attempt, or removes the attempt
 // from those that wait for a connection. An attempt without a connection has never run, so its timeout counts as a
 // failed connect.
--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -24,6 +24,7 @@
 	answerComplete     bool          // the complete answer was received before the writer had returned
 	download           *download     // forwards an answer that is too large to be buffered
 	firstWriteReported bool          // the event loop has processed the result of the first write of the request
+	holdsPartialAnswer bool          // see holdPartialAnswer
 	deferredInput      []*buffer     // input that was received before the event loop knew what had been written
 	peerEndedEarly     bool          // the backend has closed the connection while the request was being written
 	idleElement        *list.Element // in Node.idleBackends; nil: the connection is not idle
@@ -126,6 +127,8 @@
 		b.finishAnswer(unread > 0)
 	case b.answerIsLarge():
 		b.startDownload()
+	case b.answerMayBeLarge():
+		b.holdPartialAnswer()
 	}
 }
 
@@ -152,7 +155,7 @@
 	b.lastAnswerAt = n.now()
 	hasExcessInput := unread || len(msg.Rest(buf.bytes())) > 0
 	reusable := msg.KeepAlive && !b.peerEndedEarly && !hasExcessInput
-	b.attempt, b.input = nil, nil
+	b.attempt, b.input, b.holdsPartialAnswer = nil, nil, false
 	switch {
 	case !reusable:
 		n.closeBackendConn(b, closeNotReusable)
--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -27,6 +27,7 @@
 	closeAttemptAbandoned  closeReason = "attempt abandoned"
 	closeRequestAnswered   closeReason = "request answered before it was written, or before its large answer was forwarded"
 	closeUnwantedDownload  closeReason = "large answer not needed"
+	closeAnswerOverdue     closeReason = "answer incomplete at the deadline of its request"
 	closeUploadTimedOut    closeReason = "large request not read by the backend in time"
 )
 
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -17,7 +17,7 @@
 	earlyInputSize     int      // total size of earlyInput, in bytes
 }
 
-// startDownload starts to forward a large answer, whose beginning is in the input buffer. The connection is detached
+// startDownload starts to forward an answer that is or may be large, whose beginning is in the input buffer. The connection is detached
 // from the poller as soon as the request has been written. An answer whose body is not needed closes the connection
 // instead.
 func (b *backendConn) startDownload() {
@@ -45,6 +45,7 @@
 func (b *backendConn) detachForDownload() {
 	n := b.node
 	b.download.awaitingRequestEnd = false
+	n.balancer.HandleResponseStart(n.now(), b.attempt.request.id)
 	b.detach(func(descriptor *os.File, rest []byte, err error) {
 		n.report(reportDetached, func() { n.downloadDetached(b, descriptor, rest, err) })
 	}) // if the connection has ended, connectionEnded is called instead
@@ -123,6 +124,10 @@
 	head := newBuffer()
 	headBytes := protocol.AppendResponse(head.data[:0], 200, fwd.message.Fields, length, !client.closeAfterAnswer, 0)
 	n.activeForwarders++
+	if fwd.message.ContentLength() < 0 && req.deadline != noDeadline {
+		down, bufferedBody := conn.download, len(fwd.message.Body(fwd.buffer.bytes()))
+		n.scheduleAt(req.deadline+overdueAnswerGrace, func() { n.endOverdueAnswer(conn, down, fwd, bufferedBody) })
+	}
 	go func() {
 		err := fwd.write(headBytes)
 		if err == nil {
@@ -177,7 +182,7 @@
 		return
 	}
 	conn.usePollerConn(pollerConn)
-	conn.message = protocol.Message{}
+	conn.message, conn.holdsPartialAnswer = protocol.Message{}, false
 	conn.lastAnswerAt = n.now()
 	err = conn.initPollerConn(n.readBudget, func() { n.report(reportClosed, conn.connectionEnded) })
 	if err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,8 @@
 	HandleEndpointsAsOf(now, asOf balancer.Time, kind balancer.ListKind, list []balancer.Endpoint)
 	HandleRequest(now balancer.Time, request balancer.Request)
 	HandleUpload(now balancer.Time, id balancer.RequestID, on bool)
+	HandlePartialResponse(now balancer.Time, id balancer.RequestID) (forwardBy balancer.Time)
+	HandleResponseStart(now balancer.Time, id balancer.RequestID)
 	HandleAttemptResult(now balancer.Time, result balancer.AttemptResult)
 	HandleHealthCheck(
 		now balancer.Time, id balancer.EndpointID, outcome balancer.Outcome, took balancer.Span, report *balancer.LoadReport,
