Let unfinished requests give way within one account of memory

Callers saw: 930 clients that sent all but the last byte of a request of 64 KiB took a node of 64 MB over its limit within 2 s.

Cause: each piece of input and each incomplete request occupied a whole buffer of 76 KiB until its client's time was over, and nothing bounded their sum: the budget of unprocessed input and that of large messages did not know of each other, and neither counted these.

Change: one account of half the memory limit, to which connections with netpoll's buffers, buffers and pipelined input are charged; buffers of seven sizes that grow by need; when the account is short, a client that has sent nothing for 0.3 s within a request gets 503, and one that goes on sending is paused: the rest of its request stays in the kernel until its turn.

--- a/internal/node/backendconn.go
+++ b/internal/node/backendconn.go
@@ -67,6 +67,7 @@
 	}
 	rest := buf.bytes()
 	for len(rest) > 0 && b.attempt != nil && b.state != backendClosed {
+		b.input = b.input.grown(len(rest), &b.message)
 		rest = b.input.add(rest)
 		b.parseAnswer(len(rest))
 		if b.download != nil {
@@ -227,7 +228,7 @@
 	conn.logClose(reason)
 	conn.setState(backendClosed)
 	n.setIdle(conn, false)
-	n.openDescriptors--
+	n.countConnections(-1)
 	conn.attempt = nil
 	conn.input.release()
 	conn.input = nil
--- a/internal/node/clientanswer.go
+++ b/internal/node/clientanswer.go
@@ -20,7 +20,7 @@
 	c.closeAfterAnswer = c.closeAfterAnswer || c.node.drain.active || c.upload != nil
 	c.writingAnswer, c.answerStartedAt = true, c.node.now()
 	c.node.answersInProgress++
-	head := newBuffer()
+	head := newBuffer(c.node.memory, headBufferSize)
 	size := len(body)
 	if c.isHeadRequest {
 		if body = nil; status == 200 {
@@ -66,6 +66,7 @@
 	c.closeAfterAnswer = true
 	c.setState(clientLingering)
 	c.input.release()
-	c.input = nil
+	c.paused.release()
+	c.input, c.paused = nil, nil
 	c.writeAnswer(nil, status, nil, []byte(reason+"\n"), 0)
 }
--- a/internal/node/clientinput.go
+++ b/internal/node/clientinput.go
@@ -18,9 +18,19 @@
 		c.upload.earlyInput = appendCopy(c.upload.earlyInput, buf.bytes())
 		return
 	}
+	if c.paused != nil {
+		c.paused.pieces = append(c.paused.pieces, buf.retain())
+		return
+	}
 	if c.inputTruncated {
 		return
 	}
+	defer c.makeRoom()
+	c.lastInputAt = receivedAt
+	if c.lateBytes > 0 {
+		c.lateBytes -= buf.length
+		receivedAt = c.lateBytesReceivedAt
+	}
 	c.recordArrival(buf.length, receivedAt)
 	if len(c.overflow) > 0 {
 		c.bufferOverflow(buf.bytes())
@@ -35,10 +45,11 @@
 	rest := buf.bytes()
 	for len(rest) > 0 && c.state == clientOpen {
 		if c.input == nil {
-			c.input = newBuffer()
+			c.input = newBuffer(c.node.memory, len(rest))
 			c.requestStarted(receivedAt)
 		}
 		lengthBefore := len(rest)
+		c.input = c.input.grown(len(rest), &c.message)
 		if rest = c.input.add(rest); len(rest) == lengthBefore { // the buffer is full, and the previous request has not been answered yet
 			c.bufferOverflow(rest)
 			return
@@ -72,16 +83,18 @@
 // setOverflowSize sets the size of the connection's overflow, and updates the node's total.
 func (c *clientConn) setOverflowSize(size int) {
 	c.node.overflowBytes += size - c.overflowSize
+	c.node.memory.add(size - c.overflowSize)
 	c.overflowSize = size
 }
 
 // refillInput moves overflow into the input buffer, as far as there is space.
 func (c *clientConn) refillInput(receivedAt int64) {
 	if len(c.overflow) > 0 && c.input == nil {
-		c.input = newBuffer()
+		c.input = newBuffer(c.node.memory, len(c.overflow[0]))
 		c.requestStarted(receivedAt)
 	}
 	for len(c.overflow) > 0 {
+		c.input = c.input.grown(len(c.overflow[0]), &c.message)
 		rest := c.input.add(c.overflow[0])
 		if c.setOverflowSize(c.overflowSize - (len(c.overflow[0]) - len(rest))); len(rest) > 0 {
 			c.overflow[0] = rest
@@ -147,11 +160,11 @@
 // the request moves to a new buffer.
 func (c *clientConn) handleRequest(receivedAt int64) {
 	buf := c.input
-	c.input = nil
+	c.input, c.usesReserve = nil, false
 	rest := c.message.Rest(buf.bytes())
 	arrivedAt := c.arrivalTime(len(rest) + c.overflowSize)
 	if len(rest) > 0 {
-		c.input = newBuffer()
+		c.input = newBuffer(c.node.memory, len(rest))
 		c.requestStarted(receivedAt)
 		c.input.add(rest)
 		buf.length -= len(rest)
@@ -174,6 +187,10 @@
 		c.writeAnswer(buf, 503, nil, []byte("not in service\n"), 0)
 		return
 	}
+	if c.node.memory.isFull() {
+		c.writeAnswer(buf, 503, nil, []byte("no memory\n"), 0)
+		return
+	}
 	if c.mustRejectForDescriptors() {
 		c.closeAfterAnswer = true
 		c.writeAnswer(buf, 503, nil, []byte("no descriptor\n"), 0)
--- a/internal/node/descriptorowner_test.go
+++ b/internal/node/descriptorowner_test.go
@@ -106,7 +106,7 @@
 		t.Fatal(err)
 	}
 	s := &socket{conn: conn}
-	if err := s.initPollerConn(newReadBudget(0), func() {}); err != nil {
+	if err := s.initPollerConn(newMemoryAccount(0), false, func() {}); err != nil {
 		t.Fatal(err)
 	}
 	return s, peer
--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -13,6 +13,12 @@
 // many processes share the descriptors.
 const minServingDescriptors = 16
 
+// countConnections counts connections as opened, or as closed if the number is negative.
+func (n *Node) countConnections(opened int) {
+	n.openDescriptors += opened
+	n.memory.add(opened * connectionMemory)
+}
+
 // exceedsDescriptorLimit reports whether the node would exceed its limit with the given number of additional
 // descriptors.
 func (n *Node) exceedsDescriptorLimit(more int) bool {
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -12,7 +12,7 @@
 func (n *Node) dial(ep *endpoint) {
 	pending := &backendConn{node: n, endpoint: ep, incarnation: ep.incarnation}
 	ep.pendingDials++
-	n.openDescriptors++
+	n.countConnections(1)
 	addr, timeout := ep.address, time.Duration(n.settings.ConnectTimeout)*time.Microsecond
 	go func() {
 		conn, err := netpoll.DialConnection("tcp", addr, timeout)
@@ -28,7 +28,7 @@
 func (b *backendConn) attach(conn netpoll.Connection) error {
 	b.conn = conn
 	_ = conn.SetWriteTimeout(writeTimeout)
-	if err := b.initPollerConn(b.node.readBudget, func() { b.node.report(reportClosed, b.connectionEnded) }); err != nil {
+	if err := b.initPollerConn(b.node.memory, false, func() { b.node.report(reportClosed, b.connectionEnded) }); err != nil {
 		return err
 	}
 	b.limitReceiveBuffer()
@@ -43,7 +43,7 @@
 	if err != nil || !conn.conn.IsActive() {
 		if conn.state != backendClosed { // it is closed already if the backend has sent input before any request
 			conn.setState(backendClosed)
-			n.openDescriptors--
+			n.countConnections(-1)
 		}
 		if conn.conn != nil {
 			_ = conn.conn.Close()
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -121,7 +121,7 @@
 	n.answersInProgress++
 	fwd.chunked = length == protocol.Chunked
 	fwd.write = func(parts ...[]byte) error { return client.write(parts) }
-	head := newBuffer()
+	head := newBuffer(n.memory, headBufferSize)
 	headBytes := protocol.AppendResponse(head.data[:0], 200, fwd.message.Fields, length, !client.closeAfterAnswer, 0)
 	n.activeForwarders++
 	if fwd.message.ContentLength() < 0 && req.deadline != noDeadline {
@@ -184,7 +184,7 @@
 	conn.usePollerConn(pollerConn)
 	conn.message, conn.holdsPartialAnswer = protocol.Message{}, false
 	conn.lastAnswerAt = n.now()
-	err = conn.initPollerConn(n.readBudget, func() { n.report(reportClosed, conn.connectionEnded) })
+	err = conn.initPollerConn(n.memory, false, func() { n.report(reportClosed, conn.connectionEnded) })
 	if err == nil {
 		err = pollerConn.SetOnRequest(conn.onInput)
 	}
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -76,6 +76,7 @@
 func (n *Node) SetProcessCount(processes int) {
 	n.postPriority(func() {
 		n.processCount = processes
+		n.memory.setLimit(n.settings.MemoryLimit, processes)
 		n.balancer.SetProcessCount(processes)
 		n.reserveDescriptors(0)
 	})
--- /dev/null
+++ b/internal/node/memoryrelief.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"cmp"
+	"os"
+	"slices"
+
+	"tulipglade/internal/protocol"
+	"tulipglade/internal/safety"
+)
+
+// When memory is tight, incomplete requests give way. A client that has stopped within its request is rejected, the one
+// that stopped first before others. A client that goes on sending is paused: the rest of its request stays in the
+// kernel's buffers. Paused clients continue in order as memory is released, and a part of the memory is reserved for
+// them, so that requests are completed however many have begun.
+
+const (
+	// maxSmallRequest is how much memory an incomplete request may occupy without giving way, in bytes.
+	maxSmallRequest = 4 << 10
+	// minStallTime is how long a client must have sent nothing of its incomplete request to count as stopped, in
+	// microseconds.
+	minStallTime = 300_000
+	// reliefInterval is the time between two checks while memory is tight or clients are paused, in microseconds.
+	reliefInterval = 20_000
+	// maxPauseTime is how long a client may be paused before its request is rejected, in microseconds. A client that
+	// sends no complete request is owed an error within 3 s.
+	maxPauseTime = 2_000_000
+	// maxFullTime is how long all of the memory may be used before clients that are paused are rejected, in
+	// microseconds: requests that are complete release memory soon.
+	maxFullTime = 300_000
+)
+
+// pausedInput is the state of a client connection that is not read for lack of memory. It is detached from the poller.
+type pausedInput struct {
+	pausedAt int64
+	pieces   []*buffer // input that was posted or read before the connection was detached
+}
+
+// makeRoom is called when a client has sent a part of a request. If memory is tight, it pauses the client and lets
+// others give way.
+func (c *clientConn) makeRoom() {
+	if !c.node.memory.isTight() {
+		return
+	}
+	c.node.startRelief()
+	if c.node.memory.isTight() && c.mustGiveWay() && !c.usesReserve && c.descriptor == nil {
+		c.pause()
+	}
+}
+
+// mustGiveWay reports whether the client has sent a part of a request that occupies a considerable amount of memory, and
+// is not paused already.
+func (c *clientConn) mustGiveWay() bool {
+	isReceiving := c.state == clientOpen && c.request == nil && !c.writingAnswer && c.upload == nil && c.paused == nil
+	return isReceiving && c.input != nil && len(c.input.data) > maxSmallRequest
+}
+
+// pause stops reading from the client until resume is called.
+func (c *clientConn) pause() {
+	c.paused = &pausedInput{pausedAt: c.node.now()}
+	c.node.pausedClients = append(c.node.pausedClients, c)
+	c.detach(func(descriptor *os.File, rest []byte, err error) {
+		c.node.report(reportDetached, func() { c.pauseDetached(descriptor, rest, err) })
+	}) // if the connection has ended, handleDisconnect is called instead
+}
+
+// pauseDetached continues pause after the connection has been detached from the poller.
+func (c *clientConn) pauseDetached(descriptor *os.File, rest []byte, err error) {
+	if err != nil || c.state == clientClosed || descriptor == nil {
+		if descriptor != nil {
+			_ = descriptor.Close()
+		}
+		c.handleDisconnect(closePollerFailed)
+		return
+	}
+	c.useDescriptor(descriptor)
+	if len(rest) > 0 {
+		c.paused.add(c.node.memory, rest)
+	}
+}
+
+// add adds input that was read before the connection was detached.
+func (p *pausedInput) add(account *memoryAccount, data []byte) {
+	for len(data) > 0 {
+		piece := newBuffer(account, len(data))
+		data = piece.add(data)
+		p.pieces = append(p.pieces, piece)
+	}
+}
+
+// release releases the input.
+func (p *pausedInput) release() {
+	if p == nil {
+		return
+	}
+	for _, piece := range p.pieces {
+		piece.release()
+	}
+	p.pieces = nil
+}
+
+// resume continues to read from a paused client. What the kernel holds by now counts as received when the client was
+// paused, as its time has not stopped.
+func (c *clientConn) resume() {
+	paused := c.paused
+	unread, _ := unreadBytes(c.descriptor)
+	if !c.rejoinPoller() {
+		return
+	}
+	c.paused = nil
+	c.usesReserve = true
+	c.lastInputAt = c.node.now()
+	for _, piece := range paused.pieces {
+		c.receive(piece, paused.pausedAt) // releases the piece
+	}
+	c.lateBytes, c.lateBytesReceivedAt = unread, paused.pausedAt
+}
+
+// startRelief starts to make room, unless that is going on already.
+func (n *Node) startRelief() {
+	if !n.relieving {
+		n.relieving, n.memoryFullSince = true, n.now()
+		n.relieveMemory()
+	}
+}
+
+// relieveMemory rejects clients that have stopped within a request while memory is tight, and lets paused clients
+// continue as far as there is memory. It reschedules itself until memory is no longer tight and no client is paused.
+func (n *Node) relieveMemory() {
+	n.rejectStoppedClients()
+	n.rejectPausedClients()
+	n.resumePausedClients()
+	n.relieving = n.memory.isTight() || len(n.pausedClients) > 0
+	if n.relieving {
+		n.scheduleAt(n.now()+reliefInterval, n.relieveMemory)
+	}
+}
+
+// needsRoom reports whether memory is tight, or clients are paused for which there is no memory.
+func (n *Node) needsRoom() bool {
+	return n.memory.isTight() || len(n.pausedClients) > 0 && n.freeRequestSlots() <= 0
+}
+
+// rejectStoppedClients rejects clients that have stopped within a request until no more room is needed.
+func (n *Node) rejectStoppedClients() {
+	if !n.needsRoom() {
+		return
+	}
+	var stopped []*clientConn
+	for client := range n.clients {
+		if client.mustGiveWay() && n.now()-client.lastInputAt >= minStallTime {
+			stopped = append(stopped, client)
+		}
+	}
+	slices.SortFunc(stopped, func(a, b *clientConn) int { return cmp.Compare(a.lastInputAt, b.lastInputAt) })
+	for _, client := range stopped {
+		if !n.needsRoom() {
+			return
+		}
+		if client.mayClose() == safety.Allowed { // otherwise its input is only arriving late
+			client.rejectForMemory()
+		}
+	}
+}
+
+// rejectForMemory rejects an incomplete request for lack of memory.
+func (c *clientConn) rejectForMemory() {
+	c.node.warnLimited("incomplete request rejected for lack of memory", "received_bytes", c.input.length, "used_bytes", c.node.memory.used.Load())
+	c.rejectInput(503, "no memory for the rest of the request")
+}
+
+// rejectPausedClients rejects clients that have been paused for too long. If all memory has been used for maxFullTime, it
+// also rejects those that were paused last.
+func (n *Node) rejectPausedClients() {
+	now := n.now()
+	if !n.memory.isFull() {
+		n.memoryFullSince = now
+	}
+	for i := len(n.pausedClients) - 1; i >= 0; i-- {
+		client := n.pausedClients[i]
+		switch {
+		case client.state == clientClosed || client.paused == nil:
+			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
+		case client.descriptor == nil: // it is still being detached
+		case n.memory.isFull() && now-n.memoryFullSince >= maxFullTime || now-client.paused.pausedAt >= maxPauseTime:
+			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
+			client.rejectForMemory()
+		}
+	}
+}
+
+// resumePausedClients lets paused clients continue, in the order in which they were paused, as far as there is memory.
+func (n *Node) resumePausedClients() {
+	slots := n.freeRequestSlots()
+	for len(n.pausedClients) > 0 && slots > 0 && n.pausedClients[0].descriptor != nil {
+		client := n.pausedClients[0]
+		n.pausedClients = n.pausedClients[1:]
+		client.resume()
+		slots--
+	}
+}
+
+// freeRequestSlots returns for how many more paused clients there is memory, if each needs the largest buffer: what is
+// left until memory is tight, and half of the memory beyond that.
+func (n *Node) freeRequestSlots() int64 {
+	limit := n.memory.limit.Load()
+	if limit <= 0 {
+		return int64(len(n.pausedClients))
+	}
+	slots := max(limit/4/2/protocol.BufferSize, 1) + max(limit*3/4-n.memory.used.Load(), 0)/protocol.BufferSize
+	for client := range n.clients {
+		if client.usesReserve && client.input != nil {
+			slots--
+		}
+	}
+	return slots
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 	priorityPending atomic.Bool   // priorityPosted is not empty
 	wake            chan struct{} // wakes the event loop after a callback was posted
 
-	readBudget     *readBudget
+	memory         *memoryAccount
 	pendingAccepts atomic.Int32 // accepted connections that the event loop has not registered
 
 	// The following fields are only accessed on the event loop.
@@ -84,6 +84,9 @@
 	answersInProgress int            // answers that are being written
 	activeForwarders  int            // large messages that are being forwarded
 	queuedDownloads   []*backendConn // connections whose large answers wait for the end of a forwarder, oldest first
+	pausedClients     []*clientConn  // connections that are not read for lack of memory, paused for longest first
+	relieving         bool           // relieveMemory is scheduled
+	memoryFullSince   int64          // while memory is tight: when there was last some left
 	overflowBytes     int            // pipelined input that clients have sent while an earlier request is unanswered
 
 	endpoints       map[balancer.EndpointID]*endpoint
@@ -128,7 +131,7 @@
 		startedAt:          start,
 		startedAtMicros:    start.UnixMicro(),
 		wake:               make(chan struct{}, 1),
-		readBudget:         newReadBudget(settings.MemoryLimit),
+		memory:             newMemoryAccount(settings.MemoryLimit),
 		invalidTransitions: map[invalidTransition]struct{}{},
 		warningCounts:      map[string]int{},
 		classIndex:         indexByName(settings.Classes),
--- a/internal/node/poller.go
+++ b/internal/node/poller.go
@@ -14,6 +14,10 @@
 // that is posted to the event loop, and connections that are being detached.
 var pollerBacklog atomic.Int64
 
+// idleReadBufferSize is the size of the buffer that netpoll keeps for each connection, in bytes. It is the smallest that
+// netpoll takes.
+const idleReadBufferSize = 4 << 10
+
 // maxPollerYields bounds how many times the poller yields to the scheduler while there is a backlog.
 const maxPollerYields = 200
 
@@ -29,7 +33,7 @@
 var configurePollerOnce sync.Once
 
 func configurePoller(log io.Writer) error {
-	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log, Runner: func(_ context.Context, handler func()) {
+	return netpoll.Configure(netpoll.Config{PollerNum: 1, BufferSize: idleReadBufferSize, LoggerOutput: log, Runner: func(_ context.Context, handler func()) {
 		pollerBacklog.Add(1)
 		go func() {
 			defer pollerBacklog.Add(-1)
--- a/internal/node/readlimit.go
+++ b/internal/node/readlimit.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -11,54 +10,33 @@
 	"tulipglade/internal/protocol"
 )
 
-// Limits of the input that the poller may read before the event loop has processed it. Input is counted in buffers of
-// protocol.BufferSize, as each piece that is posted to the event loop occupies a whole buffer.
-const (
-	// maxPostedPieces bounds the pieces of one connection that are posted and not processed. Besides these, the poller
-	// may have read one more buffer.
-	maxPostedPieces = 4
-	// unprocessedMemoryDivisor determines the limit for all connections together: the node's memory limit is
-	// divided by it.
-	unprocessedMemoryDivisor = 4
-	// defaultUnprocessedMemory is the limit for all connections of a node without a memory limit, in bytes.
-	defaultUnprocessedMemory = 8 << 20
-)
-
-// readBudget limits the input of all connections of a node that the poller has read and the event loop has not
-// processed.
-type readBudget struct {
-	maxBuffers  int64        // once this many are used, the poller only reads connections that have unread input
-	usedBuffers atomic.Int64 // sum of chargedBuffers of all limiters
-}
-
-// newReadBudget returns the budget of a node whose memory limit is given in bytes; 0: the node has no memory limit.
-func newReadBudget(memoryLimit int64) *readBudget {
-	if memoryLimit <= 0 {
-		memoryLimit = defaultUnprocessedMemory * unprocessedMemoryDivisor
-	}
-	return &readBudget{maxBuffers: memoryLimit / unprocessedMemoryDivisor / protocol.BufferSize}
-}
+// maxPostedPieces bounds the pieces of input of one connection that are posted to the event loop and not processed.
+// Besides these, the poller may have read protocol.BufferSize more.
+const maxPostedPieces = 4
 
 // readLimiter makes the poller stop reading a connection while the event loop lags behind with its input, or after
 // another reader of the connection has been chosen. The poller asks the limiter before each read, so that memory stays
 // bounded however late the event loop is.
 type readLimiter struct {
-	budget *readBudget
-	conn   netpoll.Connection
+	account  *memoryAccount
+	conn     netpoll.Connection
+	isClient bool // the peer is a client: its input gives way if the memory account is full
 
 	lastDeniedPause uint64 // pollerPauseCount when a read was last denied; only the poller uses it
 
 	mu             sync.Mutex
 	unread         int  // bytes that the poller has read and that have not been posted to the event loop
 	postedPieces   int  // pieces that are posted to the event loop and not processed
-	chargedBuffers int  // buffers that this connection has taken from the budget
+	postedBytes    int  // total size of the buffers of these pieces
+	chargedUnread  int  // bytes of netpoll's buffers that this connection has charged to the account
+	chargedPending int  // unprocessed bytes that this connection has charged to the account
 	stopped        bool // the poller must not read until reading is resumed
 	ended          bool // the connection has ended: further input is not counted
 }
 
 // installReadLimiter makes the poller read a connection through a new limiter. No request callback may be set on the
 // connection yet.
-func installReadLimiter(conn netpoll.Connection, budget *readBudget) (*readLimiter, error) {
+func installReadLimiter(conn netpoll.Connection, account *memoryAccount, isClient bool) (*readLimiter, error) {
 	operator, err := operatorOf(conn)
 	if err != nil {
 		return nil, err
@@ -68,7 +46,7 @@
 		return nil, err
 	}
 	defer unlock()
-	limiter := &readLimiter{budget: budget, conn: conn, lastDeniedPause: math.MaxUint64}
+	limiter := &readLimiter{account: account, conn: conn, isClient: isClient, lastDeniedPause: math.MaxUint64}
 	inputs, acknowledge := operator.Inputs, operator.InputAck
 	operator.Inputs = func(vectors [][]byte) [][]byte { return limiter.limitInputs(inputs, vectors) }
 	operator.InputAck = func(n int) error {
@@ -101,7 +79,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.stopped, l.postedPieces >= maxPostedPieces, l.unread == 0 && l.budget.usedBuffers.Load() >= l.budget.maxBuffers:
+	case l.stopped, l.postedPieces >= maxPostedPieces:
+		return 0
+	case l.unread == 0 && (l.account.isBehind() || l.isClient && l.account.isFull()):
 		return 0
 	}
 	return protocol.BufferSize - l.unread
@@ -115,31 +95,39 @@
 		return
 	}
 	l.unread += n
-	l.updateBudget()
+	l.updateAccount()
 }
 
-// recordPosted counts a piece of n bytes as posted to the event loop.
-func (l *readLimiter) recordPosted(n int) {
+// recordPosted counts a piece of n bytes, in a buffer of the given size, as posted to the event loop.
+func (l *readLimiter) recordPosted(n, bufferSize int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unread = max(l.unread-n, 0) // input that was read before the limiter was installed has not been counted
 	l.postedPieces++
-	l.updateBudget()
+	l.postedBytes += bufferSize
+	l.updateAccount()
 }
 
-// recordProcessed counts a posted piece as processed by the event loop.
-func (l *readLimiter) recordProcessed() {
+// recordProcessed counts a posted piece, in a buffer of the given size, as processed by the event loop.
+func (l *readLimiter) recordProcessed(bufferSize int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.postedPieces--
-	l.updateBudget()
+	l.postedBytes -= bufferSize
+	l.updateAccount()
 }
 
-// updateBudget charges the budget with the buffers that this connection occupies now.
-func (l *readLimiter) updateBudget() {
-	occupied := l.postedPieces + (l.unread+protocol.BufferSize-1)/protocol.BufferSize
-	l.budget.usedBuffers.Add(int64(occupied - l.chargedBuffers))
-	l.chargedBuffers = occupied
+// unreadMemoryFactor is how much memory netpoll uses for unread bytes: it rounds buffers up to a power of two.
+const unreadMemoryFactor = 2
+
+// updateAccount charges the memory account with what this connection occupies now. Buffers of posted pieces are charged
+// already, and count here as unprocessed only.
+func (l *readLimiter) updateAccount() {
+	unread := l.unread * unreadMemoryFactor
+	pending := unread + l.postedBytes
+	l.account.used.Add(int64(unread - l.chargedUnread))
+	l.account.unprocessed.Add(int64(pending - l.chargedPending))
+	l.chargedUnread, l.chargedPending = unread, pending
 }
 
 // setStopped stops or resumes reading.
@@ -149,13 +137,13 @@
 	l.stopped = stopped
 }
 
-// recordEnd returns the connection's unread bytes to the budget after its end, as nobody will read them. Posted pieces
+// recordEnd returns the connection's unread bytes to the account after its end, as nobody will read them. Posted pieces
 // count until they are processed.
 func (l *readLimiter) recordEnd() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended, l.unread = true, 0
-	l.updateBudget()
+	l.updateAccount()
 }
 
 // pollerPause is how long the poller waits before it checks again whether it may read. It must not spin, as the event
--- a/internal/node/sendrequest.go
+++ b/internal/node/sendrequest.go
@@ -43,7 +43,7 @@
 		return
 	}
 	conn.message = protocol.Message{NoBody: string(req.message.Method) == "HEAD"}
-	head, requestBuffer := newBuffer(), req.buffer.retain()
+	head, requestBuffer := newBuffer(n.memory, headBufferSize), req.buffer.retain()
 	body := req.message.Body(req.buffer.bytes())
 	length, remaining := len(body), att.deadline-n.now()
 	if req.upload != nil {
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -34,8 +34,8 @@
 
 // initPollerConn prepares a new connection of the poller: it limits what the poller reads ahead, and registers the
 // callback for the end of the connection. It must be called before any callback for input is set.
-func (s *socket) initPollerConn(budget *readBudget, onClosed func()) error {
-	limiter, err := installReadLimiter(s.conn, budget)
+func (s *socket) initPollerConn(account *memoryAccount, isClient bool, onClosed func()) error {
+	limiter, err := installReadLimiter(s.conn, account, isClient)
 	if err != nil {
 		return err
 	}
@@ -198,19 +198,20 @@
 // without input in between.
 func (s *socket) postInput(conn netpoll.Connection, node *Node, receive func(*buffer)) error {
 	s.inputInTransit.Add(1)
-	b, err := readBuffer(conn)
+	b, err := readBuffer(node.memory, conn)
 	if err != nil {
 		s.inputInTransit.Add(-1)
 		return err
 	}
 	limiter := s.limiter
-	limiter.recordPosted(b.length)
+	bufferSize := len(b.data)
+	limiter.recordPosted(b.length, bufferSize)
 	pollerBacklog.Add(1)
 	node.report(reportInput, func() {
 		s.inputInTransit.Add(-1)
 		pollerBacklog.Add(-1)
 		receive(b)
-		limiter.recordProcessed()
+		limiter.recordProcessed(bufferSize)
 	})
 	return nil
 }
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -131,7 +131,7 @@
 	fwd := &forwarder{
 		source:         source{buffered: u.earlyInput, descriptor: client.descriptor},
 		message:        u.remainingMessage,
-		buffer:         newBuffer(),
+		buffer:         newBuffer(client.node.memory, protocol.BufferSize),
 		write:          write,
 		chunked:        u.remainingMessage.ContentLength() < 0,
 		enforceMinRate: true,
@@ -234,7 +234,7 @@
 	}
 	c.receivedBytes, c.arrivals = 0, nil
 	if len(rest) > 0 {
-		c.input = newBuffer()
+		c.input = newBuffer(c.node.memory, len(rest))
 		c.requestStarted(c.node.now())
 		c.recordArrival(len(rest), c.node.now())
 		if excess := c.input.add(rest); len(excess) > 0 {
@@ -258,7 +258,7 @@
 		return false
 	}
 	c.usePollerConn(conn)
-	if err = c.initPollerConn(c.node.readBudget, c.onClosed(c.node)); err == nil {
+	if err = c.initPollerConn(c.node.memory, true, c.onClosed(c.node)); err == nil {
 		err = conn.SetOnRequest(c.onInput)
 	}
 	if err != nil || !conn.IsActive() {
