Leave pipelined requests in the kernel instead of dropping them

Cause: pipelined input beyond 304 KiB was read and dropped. Nothing after it could be parsed, so the connection closed after the next answer, with the requests that were buffered before.

Change: reading stops there, or earlier if memory is short or all connections have 4 MB, and goes on as requests are answered. What comes after a stop counts as received at the stop until the client pauses, which also replaces the dates of paused clients.

--- a/internal/node/arrivals.go
+++ b/internal/node/arrivals.go
@@ -9,6 +9,35 @@
 	receivedAt int64
 }
 
+// While a connection is not read, its client may send what is received only later, and its time counts from then. The
+// node can't tell when it was sent: what is received after a stop counts as received at the stop, until the client has
+// sent nothing for minPauseBetweenSends.
+
+// minPauseBetweenSends is a time without input that shows that all input sent before has been received, in microseconds.
+const minPauseBetweenSends = 50_000
+
+// readingStopped records that the connection is not read from now on.
+func (c *clientConn) readingStopped() {
+	if c.stoppedAt == 0 {
+		c.stoppedAt = c.node.now()
+	}
+}
+
+// readingResumed records that the connection is read again.
+func (c *clientConn) readingResumed() { c.lastInputAt = c.node.now() }
+
+// sentBefore returns a time before which input was sent that was received at the given time.
+func (c *clientConn) sentBefore(receivedAt int64) int64 {
+	if receivedAt-c.lastInputAt >= minPauseBetweenSends {
+		c.stoppedAt = 0
+	}
+	c.lastInputAt = receivedAt
+	if c.stoppedAt > 0 {
+		return min(receivedAt, c.stoppedAt)
+	}
+	return receivedAt
+}
+
 // arrivalMergeInterval is the shortest interval between two arrivals that are recorded separately, in microseconds.
 // Input that follows sooner counts as received with the input before it, which bounds the number of arrivals.
 const arrivalMergeInterval = 10_000
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -18,38 +18,38 @@
 // processed. Apart from those of socket, its fields change on the event loop only.
 type clientConn struct {
 	socket
-	state               clientConnState
-	node                *Node
-	input               *buffer          // input that has not been parsed completely; nil: none
-	message             protocol.Message // the request that is being read from input
-	request             *request         // the request that waits for its answer; nil: none
-	writingAnswer       bool             // an answer, or 100 Continue, is being written
-	answerStartedAt     int64            // when the node began to write the last answer
-	closeAfterAnswer    bool             // the connection closes after the current or next answer
-	continueSent        bool             // 100 Continue has been written for the request that is being read
-	discardedBytes      int              // amount of input that was discarded while the connection lingers
-	acceptedOverLimit   bool             // the connection was accepted when the descriptor limit was already reached
-	hasSentRequest      bool             // a complete request, or the head of a large one, has been received
-	idleElement         *list.Element    // the connection's element of idleList; nil: it is on no list
-	idleList            *list.List       // the list that holds idleElement: newClients, idleClients or lingeringClients
-	overflow            [][]byte         // pipelined input that the buffer has no space for
-	overflowSize        int              // total size of overflow, in bytes
-	inputTruncated      bool             // input was dropped: input after it can't be parsed
-	lastInputAt         int64            // when input was last received
-	paused              *pausedInput     // the connection is not read for lack of memory; nil: it is read
-	usesReserve         bool             // the connection was paused before, and is not paused again within this request
-	lateBytes           int              // number of bytes to be received next that arrived while the connection was paused
-	lateBytesReceivedAt int64            // when these count as received
-	receivedBytes       int              // number of bytes received and not dropped
-	arrivals            []arrival        // when the input was received; see arrival
-	upload              *upload          // the current request if it is too large to be buffered; else nil
-	downloadConn        *backendConn     // the source of the current answer if it is too large to be buffered; else nil
-	isHTTP10            bool             // the request's version is HTTP/1.0
-	isHeadRequest       bool             // the request is a HEAD: its answer has no body
-	headContentLength   int              // the Content-Length of the backend's answer to a HEAD request
-	headCompleteAt      int64            // when the head of the request that is being read was complete; 0: it is incomplete
-	requestStartedAt    int64            // when the request that is being read began; for the first one, the time of accept
-	idleSince           int64            // when the connection was last put on an idle list
+	state             clientConnState
+	node              *Node
+	input             *buffer          // input that has not been parsed completely; nil: none
+	message           protocol.Message // the request that is being read from input
+	request           *request         // the request that waits for its answer; nil: none
+	writingAnswer     bool             // an answer, or 100 Continue, is being written
+	answerStartedAt   int64            // when the node began to write the last answer
+	closeAfterAnswer  bool             // the connection closes after the current or next answer
+	continueSent      bool             // 100 Continue has been written for the request that is being read
+	discardedBytes    int              // amount of input that was discarded while the connection lingers
+	acceptedOverLimit bool             // the connection was accepted when the descriptor limit was already reached
+	hasSentRequest    bool             // a complete request, or the head of a large one, has been received
+	idleElement       *list.Element    // the connection's element of idleList; nil: it is on no list
+	idleList          *list.List       // the list that holds idleElement: newClients, idleClients or lingeringClients
+	overflow          [][]byte         // pipelined input that the buffer has no space for
+	overflowSize      int              // total size of overflow, in bytes
+	inputTruncated    bool             // input was dropped: input after it can't be parsed
+	lastInputAt       int64            // when input was last received
+	paused            *pausedInput     // the connection is not read for lack of memory; nil: it is read
+	usesReserve       bool             // the connection was paused before, and is not paused again within this request
+	stoppedAt         int64            // when reading was stopped, if the input that arrives may have been sent since then; else 0
+	overflowStopped   bool             // reading is stopped until some of overflow has been processed
+	receivedBytes     int              // number of bytes received and not dropped
+	arrivals          []arrival        // when the input was received; see arrival
+	upload            *upload          // the current request if it is too large to be buffered; else nil
+	downloadConn      *backendConn     // the source of the current answer if it is too large to be buffered; else nil
+	isHTTP10          bool             // the request's version is HTTP/1.0
+	isHeadRequest     bool             // the request is a HEAD: its answer has no body
+	headContentLength int              // the Content-Length of the backend's answer to a HEAD request
+	headCompleteAt    int64            // when the head of the request that is being read was complete; 0: it is incomplete
+	requestStartedAt  int64            // when the request that is being read began; for the first one, the time of accept
+	idleSince         int64            // when the connection was last put on an idle list
 }
 
 // NewClientEventLoop returns netpoll's event loop that accepts the connections of clients. Its Serve method runs it on
--- a/internal/node/clientinput.go
+++ b/internal/node/clientinput.go
@@ -26,11 +26,7 @@
 		return
 	}
 	defer c.makeRoom()
-	c.lastInputAt = receivedAt
-	if c.lateBytes > 0 {
-		c.lateBytes -= buf.length
-		receivedAt = c.lateBytesReceivedAt
-	}
+	receivedAt = c.sentBefore(receivedAt)
 	c.recordArrival(buf.length, receivedAt)
 	if len(c.overflow) > 0 {
 		c.bufferOverflow(buf.bytes())
@@ -64,14 +60,19 @@
 
 // Limits of the pipelined input that is kept until the previous request has been answered, in bytes.
 const (
-	maxOverflowPerConn = maxLingerBytes // for one connection
-	maxOverflowPerNode = 4 << 20        // for all connections of clients together
+	// overflowStopSize is how much of it stops the reading of a connection: the rest stays in the kernel.
+	overflowStopSize = 4 * protocol.BufferSize
+	// maxOverflowPerConn bounds what one connection has then, including what was posted before.
+	maxOverflowPerConn = overflowStopSize + (maxPostedPieces+1)*protocol.BufferSize
+	// maxOverflowPerNode is how much of it in all connections together stops the reading of each that has any, as does
+	// tight memory.
+	maxOverflowPerNode = 4 << 20
 )
 
-// bufferOverflow keeps a copy of pipelined input that does not fit into the input buffer. Input beyond the limits is
-// dropped; as nothing after it can be parsed, the connection then closes after the next answer.
+// bufferOverflow keeps a copy of pipelined input that does not fit into the input buffer. Input beyond maxOverflowPerConn
+// comes only as the client ends the connection, and is dropped.
 func (c *clientConn) bufferOverflow(data []byte) {
-	if c.overflowSize+len(data) > maxOverflowPerConn || c.node.overflowBytes+len(data) > maxOverflowPerNode {
+	if c.overflowSize+len(data) > maxOverflowPerConn {
 		c.closeAfterAnswer, c.inputTruncated = true, true
 		c.receivedBytes -= len(data)
 		return
@@ -80,11 +81,23 @@
 	c.setOverflowSize(c.overflowSize + len(data))
 }
 
-// setOverflowSize sets the size of the connection's overflow, and updates the node's total.
+// setOverflowSize sets the size of the connection's overflow, updates the node's total, and stops or resumes reading.
 func (c *clientConn) setOverflowSize(size int) {
 	c.node.overflowBytes += size - c.overflowSize
 	c.node.memory.add(size - c.overflowSize)
 	c.overflowSize = size
+	nodeHasEnough := c.node.overflowBytes >= maxOverflowPerNode || c.node.memory.isTight()
+	stop := size >= overflowStopSize || size > 0 && nodeHasEnough
+	if stop == c.overflowStopped || c.limiter == nil {
+		return
+	}
+	c.overflowStopped = stop
+	if stop {
+		c.readingStopped()
+	} else {
+		c.readingResumed()
+	}
+	c.limiter.setStopped(stop)
 }
 
 // refillInput moves overflow into the input buffer, as far as there is space.
--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -390,8 +390,11 @@
 	go func() { _, _ = floodingClient.Write(randomBody(2, 8<<20)) }()
 	waitUntil(n, func() bool {
 		for c := range n.clients {
-			if c.inputTruncated {
-				return c.overflowSize <= maxOverflowPerConn && n.overflowBytes <= 2*maxOverflowPerConn
+			if c.overflowSize > maxOverflowPerConn || n.overflowBytes > 2*maxOverflowPerConn || c.inputTruncated {
+				t.Errorf("%d bytes kept, %d in all, some dropped: %v", c.overflowSize, n.overflowBytes, c.inputTruncated)
+			}
+			if c.overflowStopped && c.unreadInput() == 0 && c.overflowSize >= overflowStopSize {
+				return true
 			}
 		}
 		return false
@@ -403,9 +406,12 @@
 			t.Errorf("answer %d: status %d", i, code)
 		}
 	}
-	if code, _, closing := floodingClient.readAnswer(); code != 200 || !closing {
+	if code, _, closing := floodingClient.readAnswer(); code != 200 || closing {
 		t.Errorf("the first request of the flooding client: status %d, closing %v", code, closing)
 	}
+	if code, _, closing := floodingClient.readAnswer(); code < 400 || code >= 500 || !closing {
+		t.Errorf("what the flooding client sends after it: status %d, closing %v", code, closing)
+	}
 	_ = floodingClient.Close()
 	waitUntil(n, func() bool { return n.overflowBytes == 0 })
 }
--- a/internal/node/memoryrelief.go
+++ b/internal/node/memoryrelief.go
@@ -55,6 +55,7 @@
 // pause stops reading from the client until resume is called.
 func (c *clientConn) pause() {
 	c.paused = &pausedInput{pausedAt: c.node.now()}
+	c.readingStopped()
 	c.node.pausedClients = append(c.node.pausedClients, c)
 	c.detach(func(descriptor *os.File, rest []byte, err error) {
 		c.node.report(reportDetached, func() { c.pauseDetached(descriptor, rest, err) })
@@ -74,21 +75,18 @@
 	c.paused.add(c.node.memory, rest)
 }
 
-// resume continues to read from a paused client. What the kernel holds by now counts as received when the client was
-// paused, as its time has not stopped.
+// resume continues to read from a paused client.
 func (c *clientConn) resume() {
 	paused := c.paused
-	unread, _ := unreadBytes(c.descriptor)
 	if !c.rejoinPoller() {
 		return
 	}
 	c.paused = nil
 	c.setUsesReserve(true)
-	c.lastInputAt = c.node.now()
+	c.readingResumed()
 	for _, piece := range paused.pieces {
 		c.receive(piece, paused.pausedAt) // releases the piece
 	}
-	c.lateBytes, c.lateBytesReceivedAt = unread, paused.pausedAt
 }
 
 // setUsesReserve sets whether the client's request is read on although the memory account is exhausted.
