Answer the requests behind the first one of a connection in a drain

Cause: during a drain each answer closed its connection, also where whole requests had been received behind.

Change: the connection closes after the answer behind which nothing has been received; late in a shutdown the requests behind get 503 each.

--- a/internal/node/clientanswer.go
+++ b/internal/node/clientanswer.go
@@ -17,7 +17,7 @@
 		source.release()
 		return
 	}
-	c.closeAfterAnswer = c.closeAfterAnswer || c.node.drain.active || c.upload != nil
+	c.closeAfterAnswer = c.closeAfterAnswer || c.node.drain.active && !c.hasPendingInput() || c.upload != nil
 	c.writingAnswer, c.answerStartedAt = true, c.node.now()
 	c.node.answersInProgress++
 	head := newBuffer(c.node.memory, headBufferSize)
--- a/internal/node/clientinput.go
+++ b/internal/node/clientinput.go
@@ -100,6 +100,11 @@
 	c.limiter.setStopped(stop)
 }
 
+// hasPendingInput reports whether input has been received behind the current request, which may be further requests.
+func (c *clientConn) hasPendingInput() bool {
+	return !c.inputTruncated && (c.input != nil || c.overflowSize > 0 || c.unreadInput() > 0)
+}
+
 // refillInput moves overflow into the input buffer, as far as there is space.
 func (c *clientConn) refillInput(receivedAt int64) {
 	if len(c.overflow) > 0 && c.input == nil {
@@ -200,7 +205,7 @@
 		return
 	}
 	if c.node.drain.rejecting || c.node.drain.closingAll { // late in a shutdown, no client may be kept waiting
-		c.closeAfterAnswer = true
+		c.closeAfterAnswer = c.closeAfterAnswer || !c.hasPendingInput()
 		c.writeAnswer(buf, 503, nil, []byte("not in service\n"), 0)
 		return
 	}
--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -98,7 +98,7 @@
 		length = protocol.Chunked
 	}
 	client.request = nil
-	client.closeAfterAnswer = client.closeAfterAnswer || n.drain.active || client.upload != nil
+	client.closeAfterAnswer = client.closeAfterAnswer || n.drain.active && !client.hasPendingInput() || client.upload != nil
 	client.writingAnswer, client.answerStartedAt, client.downloadConn = true, n.now(), conn
 	n.answersInProgress++
 	fwd.chunked = length == protocol.Chunked
--- a/internal/node/pipelining_test.go
+++ b/internal/node/pipelining_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,3 +75,29 @@
 	}
 	awaitEmptyAccount(t, n)
 }
+
+// Requests that a client has sent at once before a drain begins are all answered, also those that are read only then.
+// Guards against a failure in which each answer during a drain ended its connection, and with it the requests behind.
+func TestPipelinedRequestsAreAnsweredInDrain(t *testing.T) {
+	const count = 6
+	backend, arrived, release := newGatedBackend(t)
+	n, addr := startNode(t, backend.targets(), nil)
+	client := dialNode(t, addr)
+	var requests strings.Builder
+	for range count {
+		requests.WriteString(requestText("once", pipelineTimeoutMillis))
+	}
+	_, _ = io.WriteString(client, requests.String())
+	<-arrived
+	drained := make(chan struct{})
+	n.Drain(0, func() { close(drained) })
+	waitUntil(n, func() bool { return n.drain.active })
+	close(release)
+	for i := range count {
+		if code, _, closing := client.readAnswer(); code != http.StatusOK || closing != (i == count-1) {
+			t.Fatalf("answer %d: status %d, closing %v", i, code, closing)
+		}
+	}
+	_ = client.Close()
+	<-drained
+}
