--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -167,10 +167,13 @@
 	for client := range n.clients {
 		switch {
 		case client.state == clientLingering:
-		case client.mayClose() == safety.Allowed:
-			client.closeGracefully(closeDraining)
-		default:
+		case client.mayClose() != safety.Allowed:
+			busy++
+		case client.input != nil: // the client may be writing the rest of its request
+			client.rejectInput(503, "not in service")
 			busy++
+		default:
+			client.closeGracefully(closeDraining)
 		}
 	}
 	return busy
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -155,7 +155,7 @@
 }
 
 // Before the process ends, every client connection must be closed gracefully: one without a request so far, one with an
-// incomplete request, and one that is just being accepted. None may be reset, and no request that crosses the close may
+// incomplete request, which is rejected first, and one that is just being accepted. None may be reset, and no request that crosses the close may
 // be forwarded.
 func TestDrainClosesEveryConnection(t *testing.T) {
 	backend := newTestBackend(t, serve)
@@ -175,6 +175,9 @@
 	waitUntil(n, func() bool { return n.drain.closingAll })
 	runOnLoop(n, func() { n.drain.generation++ }) // periodic checks must not hide a failure
 	late := dialNode(t, addr)
+	if code, _, closing := partial.readAnswer(); code != http.StatusServiceUnavailable || !closing {
+		t.Errorf("part of a request: status %d, closing %v", code, closing)
+	}
 	for name, conn := range map[string]*testClient{"without a request": silent, "part of a request": partial, "late": late} {
 		if b, err := conn.reader.ReadByte(); !errors.Is(err, io.EOF) {
 			t.Fatalf("%s: read %q, %v, want the end of the connection", name, b, err)
@@ -370,3 +373,20 @@
 	})
 	<-ended
 }
+
+// A client that is still writing its request when a shutdown waits for it no longer gets an answer. Guards against a
+// failure in which its connection was ended in the middle of the request, so that it read the end and no answer.
+func TestUnfinishedRequestIsRejectedAtEndOfShutdown(t *testing.T) {
+	n, addr := startNode(t, newTestBackend(t, serve).targets(), nil)
+	client := dialNode(t, addr)
+	request := requestText("once", 9000)
+	_, _ = io.WriteString(client, request[:len(request)/2])
+	waitUntil(n, func() bool { return len(n.clients) == 1 && n.hasIncomingRequest() })
+	drained := make(chan struct{})
+	n.Drain(0, func() { close(drained) })
+	if code, _, closing := client.readAnswer(); code != http.StatusServiceUnavailable || !closing {
+		t.Errorf("status %d, closing %v", code, closing)
+	}
+	_ = client.Close()
+	<-drained
+}
