--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -13,19 +13,19 @@
 	b.setRequestTimer(request, timerDeadline, max(end-b.now, 0))
 }
 
-// shortlyBefore returns the latest time at which an answer may be sent so that the client has it at the given
-// time, which is not over yet.
+// shortlyBefore returns the latest time at which an answer may be sent so that the client has it at the
+// given time, which is not over yet.
 func (b *Balancer) shortlyBefore(end Time) Time {
 	margin := min(b.config.TickInterval, (end-b.now)/8)
 	return end - margin - Span(b.networkDelay)
 }
 
-// maxResponseHold is how long the node may hold back the first part of a response. One that is held back for 2 s
-// counts as lost.
+// maxResponseHold is how long the node may hold back the first part of a response. One that is held back for
+// 2 s counts as lost.
 const maxResponseHold Span = 1_000_000
 
 // responseForwardTime returns the time by which the first part of a response that has just arrived must be
-// forwarded: its client has it within the latency objective, or else within the deadline.
+// forwarded, so that its client has it within the latency objective, or else within the deadline.
 func (b *Balancer) responseForwardTime(request *openRequest) Time {
 	forwardBy := b.now + maxResponseHold
 	for _, end := range []Time{request.objectiveAt, request.deadline} {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -196,10 +196,10 @@
 	b.dispatch()
 }
 
-// HandlePartialResponse handles the arrival of the first part of a response whose length is unknown. It returns
-// the time by which the node has to forward what has arrived and to call HandleResponseStart: the response may be
-// a long one, which an end at the deadline would cut off. Until then the request may be retried if the response
-// breaks off.
+// HandlePartialResponse handles the arrival of the first part of a response whose length is unknown. It
+// returns the time by which the node has to forward what has arrived and to call HandleResponseStart: the
+// response may be a long one, which an end at the deadline would cut off. Until then the request may be
+// retried if the response breaks off.
 func (b *Balancer) HandlePartialResponse(now Time, id RequestID) (forwardBy Time) {
 	b.now = now
 	request := b.requests[id]
--- a/internal/node/memoryrelief.go
+++ b/internal/node/memoryrelief.go
@@ -64,14 +64,9 @@
 
 // pauseDetached continues pause after the connection has been detached from the poller.
 func (c *clientConn) pauseDetached(descriptor *os.File, rest []byte, err error) {
-	if err != nil || c.state == clientClosed || descriptor == nil {
-		if descriptor != nil {
-			_ = descriptor.Close()
-		}
-		c.handleDisconnect(closePollerFailed)
+	if !c.acceptDescriptor(descriptor, err) {
 		return
 	}
-	c.useDescriptor(descriptor)
 	c.paused.add(c.node.memory, rest)
 }
 
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -46,17 +46,9 @@
 
 // uploadDetached admits or rejects a large request after its client's connection has been detached from the poller.
 func (c *clientConn) uploadDetached(descriptor *os.File, rest []byte, err error) {
-	if err != nil {
-		c.node.warnLimited("detaching client connection failed", "err", err)
-	}
-	if err != nil || c.state == clientClosed || descriptor == nil {
-		if descriptor != nil {
-			_ = descriptor.Close()
-		}
-		c.handleDisconnect(closePollerFailed)
+	if !c.acceptDescriptor(descriptor, err) {
 		return
 	}
-	c.useDescriptor(descriptor)
 	n, up, buf := c.node, c.upload, c.input
 	msg := c.message
 	c.input, c.message = nil, protocol.Message{}
@@ -84,6 +76,23 @@
 	n.submitRequest(req)
 }
 
+// acceptDescriptor makes the connection use the descriptor that has been detached from the poller. If it has been closed
+// meanwhile or detaching has failed, it handles the client as disconnected and returns false.
+func (c *clientConn) acceptDescriptor(descriptor *os.File, err error) bool {
+	if err != nil {
+		c.node.warnLimited("detaching client connection failed", "err", err)
+	}
+	if err == nil && c.state != clientClosed && descriptor != nil {
+		c.useDescriptor(descriptor)
+		return true
+	}
+	if descriptor != nil {
+		_ = descriptor.Close()
+	}
+	c.handleDisconnect(closePollerFailed)
+	return false
+}
+
 // forwardUpload forwards the part of the request that the attempt's first write did not include. From here on the
 // request can't be sent again, and it has no deadline until its last byte has been received.
 func (n *Node) forwardUpload(conn *backendConn, att *attempt) {
