Bound how long a client waits for memory from the start of its request

Cause: a client that was not read while the account was exhausted could be paused for 2 s after that; the pause alone was bounded.

Change: a paused client is rejected 2.3 s after its request began, too, and one that was never read 2 s after its connection was accepted.

Evidence: the cause is by reading and by the order of times, not by a trace of those clients.

--- a/internal/node/memoryrelief.go
+++ b/internal/node/memoryrelief.go
@@ -25,6 +25,10 @@
 	// maxPauseTime is how long a client may be paused before its request is rejected, in microseconds. A client that
 	// sends no complete request is owed an error within 3 s.
 	maxPauseTime = 2_000_000
+	// maxAgeWhilePaused is the age of a request at which its client is not paused any longer but rejected, and
+	// maxUnreadAge that of a connection that was never read since the memory account is exhausted, in microseconds.
+	maxAgeWhilePaused = 2_300_000
+	maxUnreadAge      = 2_000_000
 )
 
 // pausedInput is the state of a client connection that is not read for lack of memory. It is detached from the poller.
@@ -110,6 +114,7 @@
 func (n *Node) relieveMemory() {
 	n.rejectStoppedClients()
 	n.rejectPausedClients()
+	n.rejectUnreadClients()
 	n.resumePausedClients()
 	n.relieving = n.memory.isTight() || len(n.pausedClients) > 0
 	if n.relieving {
@@ -146,7 +151,7 @@
 
 // rejectForMemory rejects an incomplete request for lack of memory.
 func (c *clientConn) rejectForMemory() {
-	c.node.warnLimited("incomplete request rejected for lack of memory", "received_bytes", c.input.length, "used_bytes", c.node.memory.used.Load())
+	c.node.warnLimited("incomplete request rejected for lack of memory", "received_bytes", c.receivedBytes, "used_bytes", c.node.memory.used.Load())
 	c.rejectInput(503, "no memory for the rest of the request")
 }
 
@@ -159,13 +164,29 @@
 		case client.state == clientClosed || client.paused == nil:
 			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
 		case client.descriptor == nil: // it is still being detached
-		case now-client.paused.pausedAt >= maxPauseTime:
+		case now-client.paused.pausedAt >= maxPauseTime, now-client.requestStartedAt >= maxAgeWhilePaused:
 			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
 			client.rejectForMemory()
 		}
 	}
 }
 
+// rejectUnreadClients rejects clients that have waited for long to be read for the first time, as the memory account is
+// exhausted.
+func (n *Node) rejectUnreadClients() {
+	if !n.memory.isExhausted() {
+		return
+	}
+	for element := n.newClients.Front(); element != nil; {
+		client := element.Value.(*clientConn)
+		element = element.Next()
+		isUnread := client.state == clientOpen && client.input == nil && client.unreadInput() == 0 && !client.isOpenWithoutInput()
+		if isUnread && client.paused == nil && n.now()-client.requestStartedAt >= maxUnreadAge {
+			client.rejectForMemory()
+		}
+	}
+}
+
 // resumePausedClients lets paused clients continue, in the order in which they were paused, as far as there is memory.
 func (n *Node) resumePausedClients() {
 	slots := n.freeRequestSlots()
