--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -32,8 +32,6 @@
 	tightForwarderBuffer = 4 << 10
 	// forwarderBuffersDivisor determines what share of the memory account the buffers of all forwarders aim at.
 	forwarderBuffersDivisor = 8
-	// slowWrite is how long a write takes at least whose receiver does not keep up.
-	slowWrite = 20 * time.Millisecond
 )
 
 // Reasons why reading a message failed.
@@ -75,13 +73,12 @@
 	message        protocol.Message // parser for the rest of the message
 	buffer         *buffer          // input that has been read and not forwarded
 	write          func(parts ...[]byte) error
-	chunked        bool          // the body is written with chunked framing
-	enforceMinRate bool          // the sender must keep up minBodyRate
-	fullyRead      atomic.Bool   // the last byte of the message has been read
-	maxBytes       int64         // reading fails after more bytes than this; 0: unlimited
-	lastRead       int           // size of the last piece that was read
-	lastReadFilled bool          // the last piece filled the buffer
-	lastWrite      time.Duration // time that the last write took
+	chunked        bool        // the body is written with chunked framing
+	enforceMinRate bool        // the sender must keep up minBodyRate
+	fullyRead      atomic.Bool // the last byte of the message has been read
+	maxBytes       int64       // reading fails after more bytes than this; 0: unlimited
+	lastRead       int         // size of the last piece that was read
+	lastReadFilled bool        // the last piece filled the buffer
 	startedAt      time.Time
 	writeTime      time.Duration // time spent on writing
 	writeErr       error         // the error of the first failed write, after which the rest of the message is discarded
@@ -146,17 +143,17 @@
 	}
 }
 
-// resizeBuffer replaces the buffer by one that suits the last piece and the memory that is left: a smaller one if the
-// receiver does not keep up or the piece has filled a quarter of it or less, a larger one if the piece has filled it.
+// resizeBuffer replaces the buffer by one that suits the last piece and the memory that is left: a smaller one if the piece
+// has filled a quarter of it or less, a larger one if the piece has filled it.
 func (f *forwarder) resizeBuffer() {
 	current := sizeIndex(len(f.buffer.data))
 	next := current
 	switch {
 	case f.lastRead == 0: // the first piece is yet to be read
 		next = sizeIndex(firstForwarderBuffer)
-	case f.lastWrite >= slowWrite && current > sizeIndex(tightForwarderBuffer), f.lastRead <= len(f.buffer.data)/4:
+	case f.lastRead <= len(f.buffer.data)/4:
 		next = max(current-1, 0)
-	case f.lastReadFilled && f.lastWrite < slowWrite:
+	case f.lastReadFilled:
 		next = min(current+1, len(bufferSizes)-1)
 	}
 	next = min(next, sizeIndex(f.buffer.account.forwarderBufferSize()))
@@ -184,8 +181,7 @@
 	startedAt := time.Now()
 	f.updateProgress(func(p *forwarderProgress) { p.isWriting = true })
 	defer func() {
-		f.lastWrite = time.Since(startedAt)
-		f.writeTime += f.lastWrite
+		f.writeTime += time.Since(startedAt)
 		f.updateProgress(func(p *forwarderProgress) { p.isWriting = false })
 	}()
 	if !f.chunked {
