Time clients that were read late from the start of their connection

Callers saw: beside four busy processes 40 of 400 clients that stop within a request had neither an answer nor a close within 3 s (TestClientsThatStopWithinRequestGiveWay, load 30).

Cause, by reading: what the node read late, as memory was exhausted or its client was paused, was timed from then: with the time of a whole body, 2.1 s, an error could come 4 s after the connection. The relief ended as soon as memory was no longer tight, and did not begin at all where no client sends a part of a request.

Change: the relief goes on for 3 s after memory was tight, rejects stopped clients whose request began 2.3 s ago whether or not room is needed, and is begun by the maintenance too. The clients that use the reserved memory are counted, in place of a walk over all clients for each that is rejected.

--- a/internal/node/clientanswer.go
+++ b/internal/node/clientanswer.go
@@ -66,6 +66,7 @@
 	c.closeAfterAnswer = true
 	c.setState(clientLingering)
 	c.input.release()
+	c.setUsesReserve(false)
 	c.releasePausedInput()
 	c.input, c.paused = nil, nil
 	c.writeAnswer(nil, status, nil, []byte(reason+"\n"), 0)
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -119,6 +119,7 @@
 	delete(c.node.clients, c)
 	c.node.countConnections(-1)
 	c.input.release()
+	c.setUsesReserve(false)
 	c.releasePausedInput()
 	if c.upload != nil {
 		c.upload.earlyInput.release()
@@ -145,11 +146,9 @@
 	c.logClose(reason)
 	c.setState(clientLingering)
 	c.input.release()
+	c.setUsesReserve(false)
 	c.releasePausedInput()
-	if c.upload != nil {
-		c.upload.earlyInput.release()
-	}
-	c.input, c.overflow = nil, nil
+	c.input, c.overflow, c.paused = nil, nil, nil
 	c.setOverflowSize(0)
 	if c.descriptor != nil && !c.rejoinPoller() {
 		return
--- a/internal/node/clientinput.go
+++ b/internal/node/clientinput.go
@@ -180,9 +180,7 @@
 	buf := c.input
 	c.input = nil
 	mayUseReserve := c.usesReserve
-	if mayUseReserve {
-		c.setUsesReserve(false)
-	}
+	c.setUsesReserve(false)
 	rest := c.message.Rest(buf.bytes())
 	arrivedAt := c.arrivalTime(len(rest) + c.overflowSize)
 	if len(rest) > 0 {
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -17,6 +17,9 @@
 		n.closeBackendConn(conn, closeIdle)
 	}
 	n.closeStalledClients()
+	if n.memory.isTight() { // also where no client sends a part of a request
+		n.startRelief()
+	}
 	n.updateListFreshness()
 	n.deleteExpiredEndpoints()
 	for message, count := range n.warningCounts {
--- a/internal/node/memoryrelief.go
+++ b/internal/node/memoryrelief.go
@@ -29,6 +29,9 @@
 	// maxUnreadAge that of a connection that was never read since the memory account is exhausted, in microseconds.
 	maxAgeWhilePaused = 2_300_000
 	maxUnreadAge      = 2_000_000
+	// reliefTail is how long the relief goes on after memory was tight last, in microseconds: the time within which
+	// clients are owed an answer that could not be read meanwhile.
+	reliefTail = 3_000_000
 )
 
 // pausedInput is the state of a client connection that is not read for lack of memory. It is detached from the poller.
@@ -90,8 +93,16 @@
 
 // setUsesReserve sets whether the client's request is read on although the memory account is exhausted.
 func (c *clientConn) setUsesReserve(usesReserve bool) {
+	if c.usesReserve == usesReserve {
+		return
+	}
 	c.usesReserve = usesReserve
 	c.limiter.setGivesWay(!usesReserve)
+	if usesReserve {
+		c.node.reserveUsers++
+	} else {
+		c.node.reserveUsers--
+	}
 }
 
 // releasePausedInput drops the input of a client that is paused.
@@ -110,13 +121,17 @@
 }
 
 // relieveMemory rejects clients that have stopped within a request while memory is tight, and lets paused clients
-// continue as far as there is memory. It reschedules itself until memory is no longer tight and no client is paused.
+// continue as far as there is memory. It reschedules itself until memory has not been tight and no client has been paused
+// for reliefTail.
 func (n *Node) relieveMemory() {
+	if n.memory.isTight() || len(n.pausedClients) > 0 {
+		n.memoryTightAt = n.now()
+	}
 	n.rejectStoppedClients()
 	n.rejectPausedClients()
 	n.rejectUnreadClients()
 	n.resumePausedClients()
-	n.relieving = n.memory.isTight() || len(n.pausedClients) > 0
+	n.relieving = n.now()-n.memoryTightAt < reliefTail
 	if n.relieving {
 		n.scheduleAt(n.now()+reliefInterval, n.relieveMemory)
 	}
@@ -127,11 +142,9 @@
 	return n.memory.isTight() || len(n.pausedClients) > 0 && n.freeRequestSlots() <= 0
 }
 
-// rejectStoppedClients rejects clients that have stopped within a request until no more room is needed.
+// rejectStoppedClients rejects clients that have stopped within a request until no more room is needed, and all of them
+// whose request is old: what the node has read late must not be timed from then.
 func (n *Node) rejectStoppedClients() {
-	if !n.needsRoom() {
-		return
-	}
 	var stopped []*clientConn
 	for client := range n.clients {
 		if client.mustGiveWay() && n.now()-client.lastInputAt >= minStallTime {
@@ -140,8 +153,9 @@
 	}
 	slices.SortFunc(stopped, func(a, b *clientConn) int { return cmp.Compare(a.lastInputAt, b.lastInputAt) })
 	for _, client := range stopped {
-		if !n.needsRoom() {
-			return
+		isOld := n.now()-client.requestStartedAt >= maxAgeWhilePaused
+		if !isOld && !n.needsRoom() {
+			continue
 		}
 		if client.mayClose() == safety.Allowed { // otherwise its input is only arriving late
 			client.rejectForMemory()
@@ -206,10 +220,5 @@
 		return int64(len(n.pausedClients))
 	}
 	slots := max(limit/4/2/protocol.BufferSize, 1) + max(limit*3/4-n.memory.used.Load(), 0)/protocol.BufferSize
-	for client := range n.clients {
-		if client.usesReserve && client.input != nil {
-			slots--
-		}
-	}
-	return slots
+	return slots - int64(n.reserveUsers)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,8 @@
 	activeForwarders  int           // large messages that are being forwarded
 	pausedClients     []*clientConn // connections that are not read for lack of memory, paused for longest first
 	relieving         bool          // relieveMemory is scheduled
+	memoryTightAt     int64         // when memory was last tight, or a client paused, as relieveMemory found it
+	reserveUsers      int           // connections that use the reserved memory, see setUsesReserve
 	overflowBytes     int           // pipelined input that clients have sent while an earlier request is unanswered
 
 	endpoints       map[balancer.EndpointID]*endpoint
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -31,6 +31,7 @@
 // been read.
 func (c *clientConn) startUpload() {
 	c.hasSentRequest = true
+	c.setUsesReserve(false)
 	c.setIdle(false)
 	c.upload = &upload{}
 	for _, piece := range c.overflow {
