Let no client wait for memory until its 3 s are nearly over

Callers saw: beside load, up to 40 of 400 clients that stop within a request had neither an answer nor a close within 3 s (TestClientsThatStopWithinRequestGiveWay).

Cause, from a trace of 13 of them in three failed plays: their connections were accepted 0.35 to 0.46 s after the client's connect, they were paused until 2.3 s after that, read then, and had 0.3 s more to count as stopped. The bounds before added up to more than 3 s.

Change: a client waits until its request is 2.0 s old and is rejected then; one whose request is 2.2 s old counts as stopped after 0.1 s. One bound takes the place of three.

--- a/internal/node/memoryrelief.go
+++ b/internal/node/memoryrelief.go
@@ -22,13 +22,14 @@
 	minStallTime = 300_000
 	// reliefInterval is the time between two checks while memory is tight or clients are paused, in microseconds.
 	reliefInterval = 20_000
-	// maxPauseTime is how long a client may be paused before its request is rejected, in microseconds. A client that
-	// sends no complete request is owed an error within 3 s.
-	maxPauseTime = 2_000_000
-	// maxAgeWhilePaused is the age of a request at which its client is not paused any longer but rejected, and
-	// maxUnreadAge that of a connection that was never read since the memory account is exhausted, in microseconds.
-	maxAgeWhilePaused = 2_300_000
-	maxUnreadAge      = 2_000_000
+	// maxWaitAge is the age of a request, or of a connection that was never read, at which its client does not wait for
+	// memory any longer but is rejected, in microseconds. A client that sends no complete request is owed an error within
+	// 3 s, of which a busy machine takes some before the connection is accepted.
+	maxWaitAge = 2_000_000
+	// maxStoppedAge is the age at which a client that has sent nothing for minLateStallTime is rejected whether or not
+	// memory is tight: it may have waited before. Both are in microseconds.
+	maxStoppedAge    = 2_200_000
+	minLateStallTime = 100_000
 	// reliefTail is how long the relief goes on after memory was tight last, in microseconds: the time within which
 	// clients are owed an answer that could not be read meanwhile.
 	reliefTail = 3_000_000
@@ -147,14 +148,14 @@
 func (n *Node) rejectStoppedClients() {
 	var stopped []*clientConn
 	for client := range n.clients {
-		if client.mustGiveWay() && n.now()-client.lastInputAt >= minStallTime {
+		if client.mustGiveWay() && n.now()-client.lastInputAt >= minLateStallTime {
 			stopped = append(stopped, client)
 		}
 	}
 	slices.SortFunc(stopped, func(a, b *clientConn) int { return cmp.Compare(a.lastInputAt, b.lastInputAt) })
 	for _, client := range stopped {
-		isOld := n.now()-client.requestStartedAt >= maxAgeWhilePaused
-		if !isOld && !n.needsRoom() {
+		isLate := n.now()-client.requestStartedAt >= maxStoppedAge
+		if !isLate && (n.now()-client.lastInputAt < minStallTime || !n.needsRoom()) {
 			continue
 		}
 		if client.mayClose() == safety.Allowed { // otherwise its input is only arriving late
@@ -178,7 +179,7 @@
 		case client.state == clientClosed || client.paused == nil:
 			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
 		case client.descriptor == nil: // it is still being detached
-		case now-client.paused.pausedAt >= maxPauseTime, now-client.requestStartedAt >= maxAgeWhilePaused:
+		case now-client.requestStartedAt >= maxWaitAge:
 			n.pausedClients = slices.Delete(n.pausedClients, i, i+1)
 			client.rejectForMemory()
 		}
@@ -195,7 +196,7 @@
 		client := element.Value.(*clientConn)
 		element = element.Next()
 		isUnread := client.state == clientOpen && client.input == nil && client.unreadInput() == 0 && !client.isOpenWithoutInput()
-		if isUnread && client.paused == nil && n.now()-client.requestStartedAt >= maxUnreadAge {
+		if isUnread && client.paused == nil && n.now()-client.requestStartedAt >= maxWaitAge {
 			client.rejectForMemory()
 		}
 	}
